--- /dev/null
+++ b/cmd/refuge/main.go
@@ -0,0 +1,203 @@
+// Command refuge runs a node of swiftswitch and helps to operate it.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+	"swiftswitch/internal/lodge"
+	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/rope"
+	"swiftswitch/internal/signpost"
+)
+
+// Exit codes.
+const (
+	exitUsage  = 1
+	exitBad    = 2
+	exitRemote = 4
+)
+
+type exit struct {
+	code int
+	err  error
+}
+
+func (e exit) Error() string { return e.err.Error() }
+
+func main() {
+	root := &cobra.Command{
+		Use: "refuge", Short: "A search front over sharded indexes",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(runCmd(), checkCmd(), configCmd(), statusCmd(), eventsCmd())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "refuge:", err)
+		if e, ok := err.(exit); ok {
+			os.Exit(e.code)
+		}
+		fmt.Fprintln(os.Stderr, "see 'refuge help'")
+		os.Exit(exitUsage)
+	}
+}
+
+func runCmd() *cobra.Command {
+	opt := lodge.DefaultOptions()
+	var settings, dir string
+	var debug bool
+	c := &cobra.Command{
+		Use: "run", Short: "Run a node until SIGTERM", Args: cobra.MaximumNArgs(1),
+		Long: "Run a node as its settings file says. The argument, if any, is a name for the role and only shown.\nSIGHUP reads the settings again; SIGTERM leaves in order within GraceS.",
+		RunE: func(*cobra.Command, []string) error {
+			logbook.SetDebug(debug)
+			if opt.Slots < 1 || opt.SwitchWait < 0 || opt.SwitchWait > 0.8 {
+				return exit{exitBad, fmt.Errorf("--slots must be at least 1 and --switch-wait between 0 and 0.8")}
+			}
+			if code := lodge.Run(settings, dir, opt); code != 0 {
+				os.Exit(code)
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&settings, "settings", signpost.SettingsPath(), "settings file (YAML)")
+	f.StringVar(&dir, "data", "", "data directory in place of the settings' DataDirectory")
+	f.BoolVar(&debug, "debug", false, "log events of level debug too")
+	f.IntVar(&opt.Slots, "slots", opt.Slots, "R: searchers that hold a slot of one shard at most")
+	f.Float64Var(&opt.SwitchWait, "switch-wait", opt.SwitchWait, "part of ConfigEffectMs for which an old cut may serve on")
+	f.Float64Var(&opt.LeaseBeats, "lease-beats", opt.LeaseBeats, "a slot's lease, in heartbeats")
+	f.Float64Var(&opt.HedgeAt, "hedge-at", opt.HedgeAt, "part of the target after which a straggler gets company")
+	f.Float64Var(&opt.Soft, "soft", opt.Soft, "part of the target after which a partial answer is weighed")
+	f.Float64Var(&opt.Late, "late-worth", opt.Late, "what a late answer is taken to be worth beside one in time")
+	f.Float64Var(&opt.BudgetKeep, "budget-keep", opt.BudgetKeep, "part of the retry budget that is used at most")
+	f.Float64Var(&opt.FarPenalty, "far-penalty", opt.FarPenalty, "part of the target by which a searcher in another zone must be faster")
+	return c
+}
+
+func checkCmd() *cobra.Command {
+	c := &cobra.Command{Use: "check", Short: "Check a settings file or a configuration"}
+	c.AddCommand(
+		&cobra.Command{Use: "settings [FILE]", Short: "Check a settings file", Args: cobra.MaximumNArgs(1), RunE: func(_ *cobra.Command, a []string) error {
+			path := signpost.SettingsPath()
+			if len(a) > 0 {
+				path = a[0]
+			}
+			s, err := signpost.LoadSettings(path)
+			if err != nil {
+				return exit{exitBad, err}
+			}
+			fmt.Printf("settings of %s are good\n", s.NodeName)
+			return nil
+		}},
+		&cobra.Command{Use: "configuration FILE", Short: "Check a configuration ('-' reads standard input)", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
+			raw, err := readFile(a[0])
+			if err != nil {
+				return exit{exitBad, err}
+			}
+			conf, err := signpost.ParseConfiguration(raw)
+			if err != nil {
+				return exit{exitBad, err}
+			}
+			fmt.Printf("configuration %d is good: %d routes, %d services\n", conf.Version, len(conf.Routes), len(conf.Services))
+			return nil
+		}},
+	)
+	return c
+}
+
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(name)
+}
+
+func configCmd() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Read or change the configuration"}
+	var node string
+	var base int64
+	var within time.Duration
+	c.PersistentFlags().StringVar(&node, "node", "", "address of any node (host:port of control or of the port between nodes)")
+	c.PersistentFlags().DurationVar(&within, "within", 10*time.Second, "how long to wait")
+	_ = c.MarkPersistentFlagRequired("node")
+	call := func(method string, hd map[string]string, body []byte) (rope.Reply, error) {
+		rep, err := rope.NewClient(1, within, within, 64<<20).Call(node, method, "/-/configuration", hd, body, within)
+		if err != nil {
+			return rep, exit{exitRemote, fmt.Errorf("%s can't be reached: %w; try another node", node, err)}
+		}
+		if rep.Status != 200 {
+			return rep, exit{exitRemote, fmt.Errorf("%s answered %d: %s", node, rep.Status, rep.Body)}
+		}
+		return rep, nil
+	}
+	c.AddCommand(&cobra.Command{Use: "get", Short: "Print the newest configuration", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		rep, err := call("GET", nil, nil)
+		if err != nil {
+			return err
+		}
+		_, err = os.Stdout.Write(rep.Body)
+		return err
+	}})
+	put := &cobra.Command{Use: "put FILE", Short: "Put a whole configuration in force", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
+		raw, err := readFile(a[0])
+		if err != nil {
+			return exit{exitBad, err}
+		}
+		if _, err := signpost.ParseConfiguration(raw); err != nil {
+			return exit{exitBad, fmt.Errorf("%s: %w", a[0], err)}
+		}
+		if _, err := call("PUT", map[string]string{"If-Match": strconv.FormatInt(base, 10)}, raw); err != nil {
+			return err
+		}
+		fmt.Println("acknowledged")
+		return nil
+	}}
+	put.Flags().Int64Var(&base, "if-match", 0, "the version that this one builds on (0: the first)")
+	c.AddCommand(put)
+	return c
+}
+
+func statusCmd() *cobra.Command {
+	var within time.Duration
+	c := &cobra.Command{Use: "status ADDRESS", Short: "Show a node's state (address: host:port between nodes)", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
+		b, err := lodge.FetchStatus(a[0], within)
+		if err != nil {
+			return exit{exitRemote, fmt.Errorf("%s can't be reached: %w", a[0], err)}
+		}
+		fmt.Println(string(b))
+		return nil
+	}}
+	c.Flags().DurationVar(&within, "within", 5*time.Second, "how long to wait")
+	return c
+}
+
+func eventsCmd() *cobra.Command {
+	var md bool
+	c := &cobra.Command{Use: "events [NUMBER]", Short: "Explain the numbered events of the log", Args: cobra.MaximumNArgs(1), RunE: func(_ *cobra.Command, a []string) error {
+		if md {
+			fmt.Print("# Events\n\nPrinted by `refuge events --markdown`.\n\n| number | name | level | meaning |\n|---|---|---|---|\n")
+		}
+		found := false
+		for _, e := range logbook.Catalogue {
+			if len(a) > 0 && a[0] != strconv.Itoa(int(e.Event)) && a[0] != "E"+strconv.Itoa(int(e.Event)) {
+				continue
+			}
+			found = true
+			if md {
+				fmt.Printf("| E%d | %s | %s | %s |\n", e.Event, e.Name, e.Level, e.Means)
+			} else {
+				fmt.Printf("E%d %-18s %-5s %s\n", e.Event, e.Name, e.Level, e.Means)
+			}
+		}
+		if !found {
+			return exit{exitUsage, fmt.Errorf("there is no event %s", a[0])}
+		}
+		return nil
+	}}
+	c.Flags().BoolVar(&md, "markdown", false, "print the catalogue as docs/events.md has it")
+	return c
+}
--- /dev/null
+++ b/internal/cairn/acceptor.go
@@ -0,0 +1,71 @@
+package cairn
+
+// Ask is a proposer's message: Prepare without a Value, Accept with one.
+type Ask struct {
+	Slot   int64
+	Ballot Ballot
+	Value  *Value `json:",omitempty"`
+}
+
+// Say is an acceptor's reply.
+type Say struct {
+	ID string
+	// Slot is the last slot that the acceptor knows as decided.
+	Slot int64
+	// OK: promised, or accepted.
+	OK bool
+	// Promised is the ballot below which the acceptor refuses.
+	Promised Ballot
+	// Accepted and Value: what it accepted earlier for this slot, if anything.
+	Accepted Ballot
+	Value    *Value `json:",omitempty"`
+	// Ahead carries the decided state where the acceptor knows more than the asker.
+	Ahead *State `json:",omitempty"`
+}
+
+// Acceptor is what one voter keeps. All of it is written to disk before a
+// reply that changed it leaves.
+type Acceptor struct {
+	ID       string
+	State    State
+	Promised Ballot
+	Accepted Ballot
+	Value    *Value `json:",omitempty"`
+}
+
+// Take answers an Ask; changed tells whether the acceptor must be written first.
+func (a *Acceptor) Take(m Ask) (say Say, changed bool) {
+	say = Say{ID: a.ID, Slot: a.State.Slot}
+	if m.Slot <= a.State.Slot {
+		st := a.State
+		say.Ahead = &st
+		return say, false
+	}
+	if m.Slot > a.State.Slot+1 {
+		return say, false
+	}
+	if m.Ballot.Less(a.Promised) {
+		say.Promised = a.Promised
+		return say, false
+	}
+	if m.Value == nil {
+		changed = a.Promised.Less(m.Ballot)
+		a.Promised = m.Ballot
+		say.Accepted, say.Value = a.Accepted, a.Value
+	} else {
+		changed = true
+		a.Promised, a.Accepted, a.Value = m.Ballot, m.Ballot, m.Value
+	}
+	say.OK, say.Promised = true, a.Promised
+	return say, changed
+}
+
+// Learn takes decided state. It never goes back.
+func (a *Acceptor) Learn(s State) bool {
+	if s.Slot <= a.State.Slot {
+		return false
+	}
+	a.State = s
+	a.Promised, a.Accepted, a.Value = Ballot{}, Ballot{}, nil
+	return true
+}
--- /dev/null
+++ b/internal/fork/fork.go
@@ -0,0 +1,148 @@
+package fork
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"swiftswitch/internal/signpost"
+)
+
+// Route is one route, ready for use.
+type Route struct {
+	Name     string
+	Prefix   string
+	Safe     bool
+	Timeout  time.Duration
+	Target   time.Duration
+	Attempts int
+	Priority int
+	// Gathered lists the shards; where it is empty, Pick names the one service.
+	Gathered []string
+	Top      int
+	Share    float64
+	split    []weighted
+}
+
+type weighted struct {
+	service string
+	upTo    float64
+}
+
+// Map is a whole configuration, ready for use. It is never changed.
+type Map struct {
+	Version  int64
+	Limits   Limits
+	Services map[string]*signpost.Service
+	hosts    map[string][]*Route
+}
+
+// Limits bound what clients may send.
+type Limits struct {
+	Header, Body  int
+	HeaderTimeout time.Duration
+	Idle          time.Duration
+}
+
+// Compile makes a map of a checked configuration; def stands in for limits that are not given.
+func Compile(c *signpost.Configuration, def Limits) *Map {
+	m := &Map{Version: c.Version, Limits: def, Services: map[string]*signpost.Service{}, hosts: map[string][]*Route{}}
+	if l := c.Limits; l != nil {
+		if l.HeaderSizeBytes > 0 {
+			m.Limits.Header = int(l.HeaderSizeBytes)
+		}
+		if l.BodySizeBytes > 0 {
+			m.Limits.Body = int(l.BodySizeBytes)
+		}
+		if l.HeaderTimeoutMs > 0 {
+			m.Limits.HeaderTimeout = signpost.Ms(l.HeaderTimeoutMs, 1)
+		}
+		if l.IdleTimeoutMs > 0 {
+			m.Limits.Idle = signpost.Ms(l.IdleTimeoutMs, 1)
+		}
+	}
+	for _, s := range c.Services {
+		m.Services[s.Name] = s
+	}
+	for _, r := range c.Routes {
+		x := &Route{
+			Name: r.Name, Prefix: r.PathPrefix, Safe: r.RouteKind == signpost.KindSafe,
+			Timeout: signpost.Ms(r.TimeoutMs, 1), Target: signpost.Ms(r.TargetLatencyMs, 1),
+			Attempts: max(1, int(r.Attempts)), Priority: int(r.Priority),
+			Gathered: r.GatheredServices, Top: int(r.TopRecords), Share: r.MinimumShare,
+		}
+		if x.Target <= 0 || x.Target > x.Timeout {
+			x.Target = x.Timeout
+		}
+		if r.Service != "" {
+			x.split = []weighted{{r.Service, 1}}
+		}
+		sum := 0.0
+		for _, t := range r.TrafficSplit {
+			if t.Weight > 0 {
+				sum += t.Weight
+				x.split = append(x.split, weighted{t.Service, sum})
+			}
+		}
+		for i := range x.split {
+			if sum > 0 {
+				x.split[i].upTo /= sum
+			}
+		}
+		host := strings.ToLower(r.HostName)
+		m.hosts[host] = append(m.hosts[host], x)
+	}
+	for _, l := range m.hosts {
+		sort.SliceStable(l, func(i, j int) bool { return len(l[i].Prefix) > len(l[j].Prefix) })
+	}
+	return m
+}
+
+// Shards lists all shards that the map's gathered routes name, sorted.
+func (m *Map) Shards() []string {
+	seen := map[string]bool{}
+	for _, l := range m.hosts {
+		for _, r := range l {
+			for _, s := range r.Gathered {
+				seen[s] = true
+			}
+		}
+	}
+	out := make([]string, 0, len(seen))
+	for s := range seen {
+		out = append(out, s)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Match finds the route for a Host header and a path; nil is 404.
+func (m *Map) Match(host, path string) *Route {
+	l, ok := m.hosts[host]
+	if !ok {
+		host = strings.ToLower(host)
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			host = host[:i]
+		}
+		l = m.hosts[host]
+	}
+	for _, r := range l {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick names the service for a point in [0, 1).
+func (r *Route) Pick(point float64) string {
+	for _, w := range r.split {
+		if point < w.upTo {
+			return w.service
+		}
+	}
+	if n := len(r.split); n > 0 {
+		return r.split[n-1].service
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/gather/party.go
@@ -0,0 +1,173 @@
+package gather
+
+import (
+	"swiftswitch/internal/traverse"
+)
+
+// Terms are what a request may cost and must bring.
+type Terms struct {
+	Attempts int
+	// Safe requests may run more than once.
+	Safe bool
+	// Need is the share of the legs without which there is no success.
+	Need float64
+	// Late is what a late answer is worth beside one in time.
+	Late float64
+}
+
+// Leg is the part of a request that goes to one service.
+type Leg struct {
+	Service string
+	Holders []string
+
+	Tried []*traverse.Peer
+	Out   int
+	Done  bool
+	Dead  bool
+	// Sent tells whether a try of it may have reached a searcher.
+	Sent bool
+	// MayHaveRun tells whether a try may have run without a usable answer.
+	MayHaveRun bool
+	Good       traverse.Outcome
+	// Last is the last answer that is no success.
+	Last traverse.Outcome
+}
+
+// Step is what to do next for a leg.
+type Step int
+
+// The steps.
+const (
+	Wait Step = iota
+	// Again: send to another searcher.
+	Again
+)
+
+// Party is the state of one request on its way: a pure state machine over
+// the outcomes of tries.
+type Party struct {
+	Terms  Terms
+	Legs   []*Leg
+	stamps map[string]bool
+	good   int
+	open   int
+}
+
+// NewParty starts with every leg open.
+func NewParty(t Terms, legs []*Leg) *Party {
+	return &Party{Terms: t, Legs: legs, stamps: map[string]bool{}, open: len(legs)}
+}
+
+// Good is the number of legs whose part is in; Open of those that may still bring one.
+func (p *Party) Good() int { return p.good }
+
+// Open counts the legs that may still bring a part.
+func (p *Party) Open() int { return p.open }
+
+// Launched notes that leg i went out to a searcher; nil means that there is none to be had.
+func (p *Party) Launched(i int, peer *traverse.Peer) {
+	l := p.Legs[i]
+	if peer == nil {
+		p.settle(l)
+		return
+	}
+	l.Tried = append(l.Tried, peer)
+	l.Out++
+}
+
+// settle closes a leg for which nothing is under way any more.
+func (p *Party) settle(l *Leg) {
+	if l.Out == 0 && !l.Done && !l.Dead {
+		l.Dead = true
+		p.open--
+	}
+}
+
+// Hear takes the outcome of a try and says what to do for its leg. kept
+// tells whether the party holds on to the outcome; if not, the caller
+// releases it.
+func (p *Party) Hear(i int, o traverse.Outcome) (next Step, kept bool) {
+	l := p.Legs[i]
+	l.Out--
+	if o.Verdict != traverse.Unsent {
+		l.Sent = true
+	}
+	if l.Done || l.Dead {
+		return Wait, false
+	}
+	if o.Good() && !p.stamps[o.Stamp] {
+		p.stamps[o.Stamp] = true
+		l.Done, l.Good = true, o
+		p.good++
+		p.open--
+		return Wait, true
+	}
+	if o.Verdict == traverse.Answered || o.Verdict == traverse.Unknown {
+		l.MayHaveRun = true
+	}
+	if o.Resp != nil {
+		l.Last.Release()
+		l.Last, kept = o, true
+	}
+	if o.Verdict == traverse.Answered && o.Status < 500 && len(p.Legs) == 1 {
+		// The searcher has decided: another would say the same.
+		p.settle(l)
+		return Wait, kept
+	}
+	if p.MayTry(i) {
+		return Again, kept
+	}
+	p.settle(l)
+	return Wait, kept
+}
+
+// MayTry tells whether leg i may go to one more searcher.
+func (p *Party) MayTry(i int) bool {
+	l := p.Legs[i]
+	return !l.Done && !l.Dead && len(l.Tried) < p.Terms.Attempts && (p.Terms.Safe || !l.MayHaveRun && l.Out == 0)
+}
+
+// GaveUp notes that the next try of leg i was not to be had.
+func (p *Party) GaveUp(i int) { p.settle(p.Legs[i]) }
+
+// Share is the part of the legs that is in.
+func (p *Party) Share() float64 { return float64(p.good) / float64(len(p.Legs)) }
+
+// enough compares without the noise of fractions.
+func (p *Party) enough(n int) bool {
+	return n > 0 && float64(n) >= p.Terms.Need*float64(len(p.Legs))-1e-9
+}
+
+// Verdict tells whether the request is over, and if so, whether it is a
+// success. soft: the time in which an answer has its full worth is over.
+// hard: there is no time left.
+func (p *Party) Verdict(soft, hard bool) (over, success bool) {
+	switch {
+	case p.open == 0 || hard:
+		return true, p.enough(p.good)
+	case !p.enough(p.good + p.open):
+		return true, false
+	case soft && p.enough(p.good):
+		s := p.Share()
+		return s*s >= p.Terms.Late, true
+	}
+	return false, false
+}
+
+// Ran tells whether any try may have reached a searcher and run.
+func (p *Party) Ran() bool {
+	for _, l := range p.Legs {
+		if l.MayHaveRun || l.Out > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Release gives back what the party holds.
+func (p *Party) Release() {
+	for _, l := range p.Legs {
+		l.Good.Release()
+		l.Last.Release()
+	}
+}
--- /dev/null
+++ b/internal/lodge/hut.go
@@ -0,0 +1,531 @@
+package lodge
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"swiftswitch/internal/cairn"
+	"swiftswitch/internal/cellar"
+	"swiftswitch/internal/depot"
+	"swiftswitch/internal/hutbook"
+	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/rope"
+	"swiftswitch/internal/signpost"
+	"swiftswitch/internal/warden"
+	"swiftswitch/internal/waymark"
+)
+
+// hut is the part of a node with a disk. Its tables belong to one desk.
+type hut struct {
+	n      *Node
+	cellar *cellar.Cellar
+	desk   *desk
+
+	// Owned by the desk.
+	acc     cairn.Acceptor
+	learned time.Duration
+	highest int64
+	table   *hutbook.Table
+	duty    *warden.Duty
+	depot   *depot.Depot
+	fronts  map[string]frontSeen
+	others  map[string]hutSeen
+	down    map[string]bool
+	changed chan struct{}
+	polling bool
+
+	// proposing lets one proposal of this node run at a time.
+	proposing sync.Mutex
+}
+
+type frontSeen struct {
+	at   time.Duration
+	slot int64
+	ip   string
+}
+
+type hutSeen struct {
+	id      string
+	at      time.Duration
+	leaving bool
+}
+
+// ballotRecord is the acceptor's part that changes with every round.
+type ballotRecord struct {
+	Slot     int64
+	Promised cairn.Ballot
+	Accepted cairn.Ballot
+	Value    *cairn.Value `json:",omitempty"`
+}
+
+type epochRecord struct {
+	Epoch  int64
+	Holder string
+}
+
+const (
+	recIdentity = "identity"
+	recState    = "state"
+	recBallot   = "ballot"
+	recEpoch    = "epoch"
+)
+
+func newHut(n *Node) (*hut, error) {
+	s := n.set()
+	cel, err := cellar.Open(s.DataDirectory, signpost.Ms(s.Bounds.AcknowledgeMs, 0.1), signpost.Ms(s.Bounds.AcknowledgeMs, 0.04))
+	if err != nil {
+		return nil, err
+	}
+	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, down: map[string]bool{}, changed: make(chan struct{})}
+	var rec ballotRecord
+	var ep epochRecord
+	var id string
+	for name, v := range map[string]any{recIdentity: &id, recState: &h.acc.State, recBallot: &rec, recEpoch: &ep} {
+		raw, err := cel.Get(name)
+		if err != nil {
+			return nil, err
+		}
+		if raw != nil {
+			if err := json.Unmarshal(raw, v); err != nil {
+				return nil, errors.New("record " + name + " on disk can't be read: " + err.Error())
+			}
+		}
+	}
+	if id == "" {
+		if s.FirstStart {
+			ips := s.SeedIPs()
+			slices.Sort(ips)
+			id, h.acc.State = cairn.GenesisID(s.IpAddress), cairn.Genesis(ips)
+			logbook.Log(logbook.GenesisVoters, "voters", strings.Join(ips, ","))
+		} else {
+			id = "later-" + s.IpAddress + "-" + randomName()
+			logbook.Log(logbook.IdentityNew, "id", id)
+		}
+		wait := make(chan error, 2)
+		h.put(recIdentity, id, nil)
+		h.put(recState, h.acc.State, func(err error) { wait <- err })
+		if err := <-wait; err != nil {
+			return nil, err
+		}
+	}
+	h.acc.ID = id
+	if rec.Slot == h.acc.State.Slot+1 {
+		h.acc.Promised, h.acc.Accepted, h.acc.Value = rec.Promised, rec.Accepted, rec.Value
+	}
+	h.duty = warden.New(id, ep.Epoch, n.heartbeat(1.25), n.steady())
+	h.duty.See(ep.Epoch, ep.Holder)
+	h.setOrder()
+	return h, nil
+}
+
+func (h *hut) put(name string, v any, then func(error)) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		logbook.Log(logbook.InvariantBroken, "record", name, "err", err)
+		panic(err)
+	}
+	h.cellar.Put(name, b, then)
+}
+
+func (h *hut) start() {
+	go h.beatLoop()
+	go h.dutyLoop()
+	go h.joinLoop()
+}
+
+// setOrder follows the voters; it runs on the desk.
+func (h *hut) setOrder() {
+	var ids []string
+	for _, v := range h.acc.State.Voters {
+		ids = append(ids, v.ID)
+	}
+	slices.Sort(ids)
+	h.duty.SetOrder(ids)
+}
+
+// announce wakes everybody who waits for news; it runs on the desk.
+func (h *hut) announce() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// learn takes decided state; it runs on the desk.
+func (h *hut) learn(s cairn.State, how string) {
+	old := h.acc.State
+	if !h.acc.Learn(s) {
+		return
+	}
+	h.learned = h.n.steady()
+	h.setOrder()
+	h.put(recState, h.acc.State, nil)
+	if s.Version != old.Version {
+		logbook.Log(logbook.ConfigChosen, "slot", s.Slot, "version", s.Version, "how", how)
+	}
+	if len(s.Voters) != len(old.Voters) || !slices.Equal(s.Voters, old.Voters) {
+		var l []string
+		for _, v := range s.Voters {
+			l = append(l, v.ID)
+		}
+		logbook.Log(logbook.VotersChosen, "slot", s.Slot, "voters", strings.Join(l, ","), "how", how)
+	}
+	h.announce()
+}
+
+func (h *hut) state() (s cairn.State) {
+	h.desk.ask(func() { s = h.acc.State })
+	return s
+}
+
+// knows tells whether this node has any state to settle calls with.
+func (h *hut) knows() bool { return len(h.state().Voters) > 0 }
+
+func (h *hut) voterIPs() []string {
+	var out []string
+	for _, v := range h.state().Voters {
+		out = append(out, v.IP)
+	}
+	return out
+}
+
+// handle takes a call of another node and tells whether it was one of a hut's.
+func (h *hut) handle(c *app.RequestContext) bool {
+	switch string(c.Request.URI().PathOriginal()) {
+	case pathCairn:
+		var m cairn.Ask
+		if rope.Read(c, &m) {
+			if say, err := h.vote(m); err != nil {
+				rope.Answer(c, 503, map[string]string{"Error": err.Error()})
+			} else {
+				rope.Answer(c, 200, say)
+			}
+		}
+	case pathLearn:
+		var m learnAsk
+		if rope.Read(c, &m) {
+			h.handleLearn(c, m)
+		}
+	case pathState:
+		var say stateSay
+		h.desk.ask(func() { say = stateSay{h.acc.State, (h.n.steady() - h.learned).Milliseconds()} })
+		if string(c.Request.URI().QueryString()) == "brief" {
+			say.State.Taken = nil
+		}
+		rope.Answer(c, 200, say)
+	case pathPeek:
+		var say peekSay
+		h.desk.ask(func() { say = peekSay{h.acc.ID, h.acc.State.Slot, h.acc.Value != nil} })
+		rope.Answer(c, 200, say)
+	case pathBeat:
+		var m beat
+		if rope.Read(c, &m) {
+			h.desk.ask(func() { h.hear(m); m = h.beat() })
+			rope.Answer(c, 200, m)
+		}
+	case pathTable:
+		var t hutbook.Table
+		if rope.Read(c, &t) {
+			h.desk.ask(func() { h.merge(&t) })
+			rope.Answer(c, 200, struct{}{})
+		}
+	case pathJoin:
+		var m joinAsk
+		if rope.Read(c, &m) {
+			rope.Answer(c, 200, h.handleJoin(m))
+		}
+	case pathWatch:
+		var m watchAsk
+		if rope.Read(c, &m) {
+			rope.Answer(c, 200, h.handleWatch(m))
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// vote lets the acceptor answer; what it changed is on disk before the answer leaves.
+func (h *hut) vote(m cairn.Ask) (say cairn.Say, err error) {
+	done := make(chan error, 1)
+	h.desk.ask(func() {
+		var changed bool
+		say, changed = h.acc.Take(m)
+		h.highest = max(h.highest, m.Ballot.N, h.acc.Promised.N)
+		if !changed {
+			done <- nil
+			return
+		}
+		h.put(recBallot, ballotRecord{m.Slot, h.acc.Promised, h.acc.Accepted, h.acc.Value}, func(e error) { done <- e })
+	})
+	select {
+	case err = <-done:
+	case <-time.After(signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.5)):
+		err = errors.New("the disk takes too long")
+	}
+	return say, err
+}
+
+func (h *hut) handleLearn(c *app.RequestContext, m learnAsk) {
+	var say learnSay
+	h.desk.ask(func() {
+		if m.State != nil {
+			h.learn(*m.State, "told")
+		} else if m.Slot == h.acc.State.Slot+1 && h.acc.Value != nil && h.acc.Accepted == m.Ballot {
+			h.learn(h.acc.State.Apply(*h.acc.Value), "accepted")
+		}
+		say.Slot = h.acc.State.Slot
+	})
+	rope.Answer(c, 200, say)
+}
+
+// beat is this node's sign of life; it runs on the desk.
+func (h *hut) beat() beat {
+	b := beat{ID: h.acc.ID, IP: h.n.set().IpAddress, Slot: h.acc.State.Slot, Epoch: h.duty.Epoch, Holder: h.duty.Holder, Leaving: h.n.leaving.Load()}
+	if h.table != nil {
+		b.Stamp = h.table.Stamp
+	}
+	return b
+}
+
+// hear takes another hut's sign of life; it runs on the desk.
+func (h *hut) hear(b beat) {
+	now := h.n.steady()
+	h.others[b.IP] = hutSeen{b.ID, now, b.Leaving}
+	h.duty.Hear(b.ID, b.Epoch, b.Holder, now)
+	if b.Leaving {
+		h.duty.Leave(b.ID)
+	}
+	h.depot.Confirm(b.IP, b.Slot)
+	if h.depot.Owed(b.IP, h.acc.State.Slot) {
+		h.depot.Start(b.IP)
+		go h.handOver(b.IP, h.acc.State)
+	}
+	if t := h.table; t != nil && b.Stamp.Less(t.Stamp) {
+		go func() {
+			_ = h.n.call.Ask(h.n.set().RopeAddr(b.IP), pathTable, t, nil, h.n.heartbeat(0.8))
+		}()
+	}
+}
+
+// handOver gives a node what it missed.
+func (h *hut) handOver(ip string, s cairn.State) {
+	var say learnSay
+	held := int64(-1)
+	if err := h.n.call.Ask(h.n.set().RopeAddr(ip), pathLearn, learnAsk{Slot: s.Slot, State: &s}, &say, h.n.heartbeat(1)); err == nil {
+		held = say.Slot
+		logbook.Log(logbook.HandedOver, "to", ip, "slot", held)
+	}
+	h.desk.post(func() { h.depot.End(ip, held) })
+}
+
+// peers lists the other huts to beat to; it runs on the desk.
+func (h *hut) peers() []string {
+	self := h.n.set().IpAddress
+	var out []string
+	add := func(ip string) {
+		if ip != self && ip != "" && !slices.Contains(out, ip) {
+			out = append(out, ip)
+		}
+	}
+	for _, v := range h.acc.State.Voters {
+		add(v.IP)
+	}
+	now := h.n.steady()
+	for ip, o := range h.others {
+		if now-o.at < signpost.Ms(h.n.set().Bounds.InTouchMs, 1) {
+			add(ip)
+		} else if !slices.Contains(out, ip) {
+			delete(h.others, ip)
+			h.depot.Forget(ip)
+		}
+	}
+	return out
+}
+
+func (h *hut) beatLoop() {
+	for {
+		h.beatAll()
+		select {
+		case <-h.n.stop:
+			return
+		case <-time.After(h.n.heartbeat(0.4)):
+		}
+	}
+}
+
+func (h *hut) beatAll() {
+	var out []string
+	var b beat
+	h.desk.ask(func() { out, b = h.peers(), h.beat() })
+	if len(out) == 0 {
+		out = slices.DeleteFunc(h.n.huts(), func(ip string) bool { return ip == h.n.set().IpAddress })
+	}
+	for _, ip := range out {
+		go func() {
+			var say beat
+			if err := h.n.call.Ask(h.n.set().RopeAddr(ip), pathBeat, b, &say, h.n.heartbeat(0.8)); err == nil {
+				h.desk.post(func() { h.hear(say) })
+				h.n.view.post(func() { h.n.way.Add(waymark.Node{Name: say.ID, IP: say.IP, Hut: true}) })
+			}
+		}()
+	}
+}
+
+// handleWatch waits for news that the asker lacks, at most for a heartbeat.
+func (h *hut) handleWatch(m watchAsk) watchSay {
+	until := time.NewTimer(h.n.heartbeat(1))
+	defer until.Stop()
+	for late := false; ; {
+		var say watchSay
+		var changed chan struct{}
+		news := false
+		h.desk.ask(func() {
+			now := h.n.steady()
+			h.fronts[m.Name] = frontSeen{now, m.Slot, m.IP}
+			say = watchSay{Zone: h.n.set().Zone, Slot: h.acc.State.Slot, Fronts: h.countFronts(now)}
+			for _, v := range h.acc.State.Voters {
+				say.Huts = append(say.Huts, v.IP)
+			}
+			if h.table != nil {
+				say.Stamp = h.table.Stamp
+				if m.Stamp.Less(h.table.Stamp) {
+					news = true
+					if !m.Brief {
+						say.Table = h.table
+					}
+				}
+			}
+			news = news || say.Slot > m.Slot && h.acc.State.Version > 0
+			changed = h.changed
+		})
+		if news || late || h.n.leaving.Load() {
+			return say
+		}
+		select {
+		case <-changed:
+		case <-until.C:
+			late = true
+		case <-h.n.stop:
+			return say
+		}
+	}
+}
+
+// countFronts counts the fronts heard within the window of the retry budget; it runs on the desk.
+func (h *hut) countFronts(now time.Duration) int {
+	for name, f := range h.fronts {
+		if now-f.at > signpost.Sec(h.n.set().Bounds.RetryWindowS, 1) {
+			delete(h.fronts, name)
+		}
+	}
+	return len(h.fronts)
+}
+
+// held waits until every front that was heard lately holds slot, at most for the time given.
+func (h *hut) held(slot int64, within time.Duration) {
+	end := time.Now().Add(within)
+	for time.Now().Before(end) {
+		missing := false
+		h.desk.ask(func() {
+			now := h.n.steady()
+			for _, f := range h.fronts {
+				if f.slot < slot && now-f.at < h.n.heartbeat(2) {
+					missing = true
+				}
+			}
+		})
+		if !missing {
+			return
+		}
+		time.Sleep(within / 25)
+	}
+}
+
+// handleConfig takes the operator's calls.
+func (h *hut) handleConfig(c *app.RequestContext) {
+	if string(c.Request.Header.Method()) == "GET" {
+		s, ok := h.read(signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.6))
+		switch {
+		case !ok:
+			logbook.Log(logbook.ReadUnsettled)
+			rope.Answer(c, 503, map[string]string{"Error": "no majority can be reached"})
+		case s.Version == 0:
+			rope.Answer(c, 404, map[string]string{"Error": "there is no configuration yet"})
+		default:
+			c.SetStatusCode(200)
+			c.Response.Header.SetContentType("application/json")
+			c.Response.Header.Set("ETag", strconv.FormatInt(s.Version, 10))
+			c.Response.SetBodyRaw([]byte(s.Body))
+		}
+		return
+	}
+	body := string(c.Request.Body())
+	status, text := h.take(body, string(c.Request.Header.Peek("If-Match")))
+	if status == 200 {
+		rope.Answer(c, 200, map[string]int64{"Version": text.version})
+		return
+	}
+	logbook.Log(logbook.ConfigRefused, "status", status, "why", text.why)
+	rope.Answer(c, status, map[string]string{"Error": text.why})
+}
+
+type taken struct {
+	version int64
+	why     string
+}
+
+// take settles a PUT.
+func (h *hut) take(body, match string) (int, taken) {
+	bounds := h.n.set().Bounds
+	until := time.Now().Add(signpost.Ms(bounds.AcknowledgeMs, 0.8))
+	conf, err := signpost.ParseConfiguration([]byte(body))
+	if err != nil {
+		return 400, taken{why: err.Error()}
+	}
+	base, err := strconv.ParseInt(strings.Trim(strings.TrimPrefix(strings.TrimSpace(match), "W/"), "\""), 10, 64)
+	if err != nil || base < 0 {
+		return 400, taken{why: "If-Match must hold the version that this one builds on"}
+	}
+	version := conf.Version
+	if version <= base {
+		return 400, taken{why: "Version is not above the one it builds on"}
+	}
+	h.proposing.Lock()
+	defer h.proposing.Unlock()
+	own := &cairn.Value{Version: version, Base: base, Body: body}
+	for try := 0; ; try++ {
+		s := h.state()
+		if s.Has(version, base, body) {
+			h.held(s.Slot, signpost.Ms(bounds.AcknowledgeMs, 0.1))
+			return 200, taken{version: version}
+		}
+		if base < s.Version {
+			return 412, taken{why: "version " + strconv.FormatInt(s.Version, 10) + " is current"}
+		}
+		if base > s.Version {
+			// This node may be behind: whoever knows more will say so.
+			fresh, ok := h.read(signpost.Ms(bounds.AcknowledgeMs, 0.3))
+			if ok && fresh.Version < base {
+				return 412, taken{why: "version " + strconv.FormatInt(fresh.Version, 10) + " is current"}
+			}
+			if !ok && time.Now().After(until) {
+				return 503, taken{why: "no majority can be reached"}
+			}
+			if !ok {
+				h.pause(try)
+			}
+			continue
+		}
+		if !h.round(own) {
+			if time.Now().After(until) {
+				return 503, taken{why: "no majority agreed in time"}
+			}
+			h.pause(try)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lodge/life.go
@@ -0,0 +1,79 @@
+package lodge
+
+import (
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/signpost"
+)
+
+// tune fits the runtime to the machine.
+func tune(s *signpost.Settings) {
+	runtime.GOMAXPROCS(1)
+	if mb := s.Limits.MemoryMb; mb > 0 {
+		debug.SetMemoryLimit(int64(mb * 0.6 * (1 << 20)))
+	}
+	debug.SetGCPercent(150)
+}
+
+// signals waits for the end, and for changed settings on the way.
+func (n *Node) signals() {
+	sig := make(chan os.Signal, 4)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	seen := fileTime(n.path)
+	for {
+		select {
+		case s := <-sig:
+			if s == syscall.SIGHUP {
+				seen = fileTime(n.path)
+				n.reload()
+				continue
+			}
+			n.drain()
+			return
+		case <-time.After(n.heartbeat(1)):
+			if t := fileTime(n.path); !t.Equal(seen) {
+				seen = t
+				n.reload()
+			}
+		}
+	}
+}
+
+// reload takes a changed settings file, or keeps the old settings.
+func (n *Node) reload() {
+	s, err := signpost.LoadSettings(n.path)
+	old := n.set()
+	switch {
+	case err != nil:
+		logbook.Log(logbook.SettingsKept, "err", err)
+		return
+	case s.IpAddress != old.IpAddress || s.RopePort() != old.RopePort() || s.HasDisk() != old.HasDisk():
+		logbook.Log(logbook.SettingsKept, "err", "IpAddress, InternalPortRange and DataDirectory can't change while the node runs")
+		return
+	}
+	s.DataDirectory = old.DataDirectory
+	n.settings.Store(s)
+	logbook.Log(logbook.SettingsReloaded)
+}
+
+// drain leaves in order, inside GraceS.
+func (n *Node) drain() {
+	start := time.Now()
+	grace := signpost.Sec(n.set().Bounds.GraceS, 1)
+	logbook.Log(logbook.Draining, "grace", grace)
+	n.leaving.Store(true)
+	if n.trail != nil {
+		n.trail.leave(start, grace)
+	}
+	if n.hut != nil {
+		n.hut.leave(start, grace)
+	}
+	close(n.stop)
+}
--- /dev/null
+++ b/internal/lodge/node.go
@@ -0,0 +1,306 @@
+package lodge
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/rope"
+	"swiftswitch/internal/signpost"
+	"swiftswitch/internal/waymark"
+)
+
+// Node is what every machine runs; hut and trail are added by role.
+type Node struct {
+	settings atomic.Pointer[signpost.Settings]
+	path     string
+	born     time.Time
+	life     string
+	call     *rope.Client
+	stop     chan struct{}
+	leaving  atomic.Bool
+
+	view *desk
+	way  *waymark.View
+
+	hut   *hut
+	trail *trail
+}
+
+func (n *Node) set() *signpost.Settings { return n.settings.Load() }
+
+// steady is the node's steady clock.
+func (n *Node) steady() time.Duration { return time.Since(n.born) }
+
+func (n *Node) userTimeout() time.Duration { return signpost.Ms(n.set().Bounds.InTouchMs, 0.5) }
+
+func (n *Node) heartbeat(ratio float64) time.Duration {
+	return signpost.Ms(n.set().HeartbeatIntervalMs, ratio)
+}
+
+// Run is the life of a node; it returns the process's exit code.
+func Run(path, dir string, options Options) int {
+	s, err := signpost.LoadSettings(path)
+	if err != nil {
+		logbook.Log(logbook.SettingsBad, "err", err)
+		return 2
+	}
+	if dir != "" {
+		s.DataDirectory = dir
+	}
+	n := &Node{path: path, born: time.Now(), life: randomName(), stop: make(chan struct{})}
+	n.settings.Store(s)
+	tune(s)
+	n.call = rope.NewClient(4, signpost.Ms(s.Bounds.InTouchMs, 1), n.userTimeout(), n.maxMessage())
+	n.view = newDesk()
+	n.way = waymark.New(waymark.Node{Name: s.NodeName, IP: s.IpAddress, Zone: s.Zone, Hut: s.HasDisk()}, 8, 3)
+
+	if s.HasDisk() {
+		if n.hut, err = newHut(n); err != nil {
+			logbook.Log(logbook.SettingsBad, "err", err)
+			return 3
+		}
+	}
+	if slices.Contains(s.Serves, "front") {
+		if n.trail, err = newTrail(n, options); err != nil {
+			logbook.Log(logbook.SettingsBad, "err", err)
+			return 2
+		}
+	}
+	if n.serve() {
+		logbook.Log(logbook.Started, "node", s.NodeName, "role", s.Role, "zone", s.Zone, "hut", n.hut != nil, "trail", n.trail != nil)
+	}
+	if n.hut != nil {
+		n.hut.start()
+	}
+	if n.trail != nil {
+		n.trail.start()
+	}
+	go n.shuffleLoop()
+	n.signals()
+	logbook.Log(logbook.Stopped)
+	return 0
+}
+
+func randomName() string {
+	const letters = "abcdefghijkmnpqrstuvwxyz23456789"
+	b := make([]byte, 12)
+	for i := range b {
+		b[i] = letters[rand.IntN(len(letters))]
+	}
+	return string(b)
+}
+
+func (n *Node) maxMessage() int {
+	mb := n.set().Limits.MemoryMb
+	if mb <= 0 {
+		mb = 256
+	}
+	return int(mb * (1 << 20) / 32)
+}
+
+func (n *Node) listener(idle time.Duration) rope.Listener {
+	return rope.Listener{
+		MaxHeader: 64 << 10, MaxBody: n.maxMessage(), ReadWithin: signpost.Ms(n.set().Bounds.InTouchMs, 2),
+		IdleFor: idle, UserTimeout: n.userTimeout(),
+	}
+}
+
+// serve opens the port for other nodes and, where the role has it, control.
+func (n *Node) serve() bool {
+	s := n.set()
+	addrs := []string{s.RopeAddr(s.IpAddress)}
+	if slices.Contains(s.Serves, "control") {
+		addrs = append(addrs, s.ListenAddresses.ControlAddress)
+	}
+	for i, a := range addrs {
+		ln, ok := rope.Listen(a, n.userTimeout(), n.heartbeat(0.1), n.stop)
+		if !ok {
+			return false
+		}
+		handle := n.handleRope
+		if i > 0 {
+			handle = n.handleControl
+		}
+		rope.Serve(ln, n.listener(signpost.Ms(s.Bounds.InTouchMs, 2)), handle)
+	}
+	return true
+}
+
+// handleRope takes the calls of other nodes, and control calls as well.
+func (n *Node) handleRope(ctx context.Context, c *app.RequestContext) {
+	switch string(c.Request.URI().PathOriginal()) {
+	case pathShuffle:
+		n.handleShuffle(c)
+	case pathStatus:
+		rope.Answer(c, 200, n.Status())
+	case pathConfig:
+		n.handleControl(ctx, c)
+	default:
+		if n.hut == nil || !n.hut.handle(c) {
+			rope.Answer(c, 404, map[string]string{"Error": "no such call"})
+		}
+	}
+}
+
+// handleControl takes the operator's calls and passes on what this node can't settle.
+func (n *Node) handleControl(_ context.Context, c *app.RequestContext) {
+	if string(c.Request.URI().PathOriginal()) != pathConfig {
+		rope.Answer(c, 404, map[string]string{"Error": "no such call"})
+		return
+	}
+	if m := string(c.Request.Header.Method()); m != "GET" && m != "PUT" {
+		rope.Answer(c, 405, map[string]string{"Error": "GET and PUT only"})
+		return
+	}
+	if n.hut != nil && n.hut.knows() {
+		n.hut.handleConfig(c)
+		return
+	}
+	n.passOn(c)
+}
+
+const headerPassed = "Swiftswitch-Passed-On"
+
+// passOn sends a control call to a node that may settle it, once.
+func (n *Node) passOn(c *app.RequestContext) {
+	if len(c.Request.Header.Peek(headerPassed)) > 0 {
+		rope.Answer(c, 503, map[string]string{"Error": "this node has no state yet"})
+		return
+	}
+	hd := map[string]string{headerPassed: n.set().NodeName}
+	if v := string(c.Request.Header.Peek("If-Match")); v != "" {
+		hd["If-Match"] = v
+	}
+	for _, ip := range n.huts() {
+		if ip == n.set().IpAddress {
+			continue
+		}
+		rep, err := n.call.Call(n.set().RopeAddr(ip), string(c.Request.Header.Method()), pathConfig, hd, c.Request.Body(), signpost.Ms(n.set().Bounds.AcknowledgeMs, 0.8))
+		if err != nil || rep.Status == 503 || rep.Status == 404 {
+			continue
+		}
+		c.SetStatusCode(rep.Status)
+		c.Response.Header.SetContentType("application/json")
+		c.Response.SetBodyRaw(rep.Body)
+		return
+	}
+	rope.Answer(c, 503, map[string]string{"Error": "no node that keeps state can be reached"})
+}
+
+// huts lists the IPs of the nodes that may keep state, those known best first.
+func (n *Node) huts() []string {
+	var out []string
+	add := func(ips []string) {
+		for _, ip := range ips {
+			if ip != "" && !slices.Contains(out, ip) {
+				out = append(out, ip)
+			}
+		}
+	}
+	if n.hut != nil {
+		add(n.hut.voterIPs())
+	}
+	if n.trail != nil {
+		add(n.trail.hutIPs())
+	}
+	add(n.set().SeedIPs())
+	n.view.ask(func() { add(n.way.Huts()) })
+	return out
+}
+
+func (n *Node) handleShuffle(c *app.RequestContext) {
+	var m shuffle
+	if !rope.Read(c, &m) {
+		return
+	}
+	var give []waymark.Node
+	n.view.ask(func() { give = n.way.Answer(m.Nodes) })
+	rope.Answer(c, 200, shuffle{give})
+}
+
+// shuffleLoop exchanges parts of the view with neighbours.
+func (n *Node) shuffleLoop() {
+	for {
+		select {
+		case <-n.stop:
+			return
+		case <-time.After(time.Duration(float64(n.heartbeat(4)) * (0.75 + rand.Float64()/2))):
+		}
+		var partner waymark.Node
+		var offer []waymark.Node
+		ok := false
+		n.view.ask(func() {
+			for _, ip := range n.set().SeedIPs() {
+				if ip != n.set().IpAddress && len(n.way.Nodes()) == 0 {
+					n.way.Add(waymark.Node{Name: "seed-" + ip, IP: ip, Hut: true})
+				}
+			}
+			partner, offer, ok = n.way.Start()
+		})
+		if !ok {
+			continue
+		}
+		var got shuffle
+		if err := n.call.Ask(n.set().RopeAddr(partner.IP), pathShuffle, shuffle{offer}, &got, n.heartbeat(0.8)); err == nil {
+			n.view.ask(func() { n.way.Finish(partner, got.Nodes) })
+		}
+	}
+}
+
+// Status is what `refuge status` shows.
+type Status struct {
+	Node    string
+	Zone    string
+	UpMs    int64
+	Leaving bool
+	View    []waymark.Node
+	Hut     *HutStatus   `json:",omitempty"`
+	Trail   *TrailStatus `json:",omitempty"`
+}
+
+// Status tells how the node is doing.
+func (n *Node) Status() Status {
+	st := Status{Node: n.set().NodeName, Zone: n.set().Zone, UpMs: n.steady().Milliseconds(), Leaving: n.leaving.Load()}
+	n.view.ask(func() { st.View = n.way.Nodes() })
+	if n.hut != nil {
+		st.Hut = n.hut.status()
+	}
+	if n.trail != nil {
+		st.Trail = n.trail.status()
+	}
+	return st
+}
+
+// FetchStatus asks a node for its status; `refuge status` uses it.
+func FetchStatus(addr string, within time.Duration) ([]byte, error) {
+	cl := rope.NewClient(1, within, within, 8<<20)
+	rep, err := cl.Call(addr, "GET", pathStatus, nil, nil, within)
+	if err != nil {
+		return nil, err
+	}
+	var pretty any
+	if err := json.Unmarshal(rep.Body, &pretty); err != nil {
+		return nil, err
+	}
+	return json.MarshalIndent(pretty, "", "  ")
+}
+
+func fileTime(path string) time.Time {
+	if st, err := os.Stat(path); err == nil {
+		return st.ModTime()
+	}
+	return time.Time{}
+}
+
+func hostOf(addr string) string {
+	h, _, _ := net.SplitHostPort(addr)
+	return h
+}
--- /dev/null
+++ b/internal/lodge/trail.go
@@ -0,0 +1,413 @@
+package lodge
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/panjf2000/ants/v2"
+	"swiftswitch/internal/fork"
+	"swiftswitch/internal/gather"
+	"swiftswitch/internal/hutbook"
+	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/rations"
+	"swiftswitch/internal/rope"
+	"swiftswitch/internal/signpost"
+	"swiftswitch/internal/switchback"
+	"swiftswitch/internal/trailhead"
+	"swiftswitch/internal/traverse"
+	"swiftswitch/internal/waymark"
+)
+
+// Options are the project's defaults that an operator may change on the
+// command line. All but Slots are ratios.
+type Options struct {
+	// Slots is R, how many searchers hold a slot of one shard at most.
+	Slots int
+	// SwitchWait, a part of ConfigEffectMs, is how long an old cut may serve on.
+	SwitchWait float64
+	// LeaseBeats is a slot's lease in heartbeats.
+	LeaseBeats float64
+	// HedgeAt, a part of the target, is when a straggler gets company.
+	HedgeAt float64
+	// Soft, a part of the target, is when a partial answer is weighed.
+	Soft float64
+	// Late is what a late answer is taken to be worth beside one in time.
+	Late float64
+	// BudgetKeep is the part of the retry budget that is used at most.
+	BudgetKeep float64
+	// FarPenalty, a part of the target, is what a searcher in another zone must be faster by.
+	FarPenalty float64
+}
+
+// DefaultOptions are the defaults.
+func DefaultOptions() Options {
+	return Options{Slots: 2, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.4, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.15}
+}
+
+// trail is the part of a node that serves clients. Its tables belong to one desk.
+type trail struct {
+	n    *Node
+	opt  Options
+	desk *desk
+
+	rng    *traverse.Range
+	ledger *rations.Ledger
+	head   *trailhead.Head
+	pool   *ants.Pool
+	ready  atomic.Bool
+
+	// Owned by the desk.
+	board   *switchback.Board
+	maps    map[int64]*fork.Map
+	slot    int64
+	table   *hutbook.Table
+	huts    []string
+	watched map[string]bool
+	counts  map[string]int
+	nodes   int
+	// heldSlot mirrors slot, stamp the table's stamp, for the watchers.
+	heldSlot atomic.Int64
+	stamp    atomic.Pointer[hutbook.Stamp]
+	fetching atomic.Bool
+
+	front atomic.Pointer[server.Hertz]
+	ln    atomic.Pointer[net.Listener]
+}
+
+func newTrail(n *Node, opt Options) (*trail, error) {
+	s := n.set()
+	b := s.Bounds
+	pool, err := ants.NewPool(int(max(256, s.Limits.FileDescriptors/2)), ants.WithNonblocking(true), ants.WithExpiryDuration(n.heartbeat(8)))
+	if err != nil {
+		return nil, err
+	}
+	t := &trail{n: n, opt: opt, desk: newDesk(), pool: pool, maps: map[int64]*fork.Map{}, watched: map[string]bool{}, counts: map[string]int{}}
+	t.rng = traverse.New(traverse.Options{
+		Zone: s.Zone, UserTimeout: n.userTimeout(), DialWithin: signpost.Ms(b.InTouchMs, 0.125), MaxBody: n.maxMessage(),
+		KeepIdle: signpost.Ms(b.InTouchMs, 1), FailsOut: 3, OutFor: signpost.Ms(b.InTouchMs, 0.2),
+		FarPenalty: opt.FarPenalty, Forget: signpost.Ms(b.InTouchMs, 0.75),
+	})
+	t.ledger = rations.New(rations.Rules{
+		Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: signpost.Sec(b.RetryWindowS, 1), Keep: opt.BudgetKeep,
+	}, n.steady())
+	guide := &gather.Guide{Range: t.rng, Ledger: t.ledger, Pool: pool, Steady: n.steady, HedgeAt: opt.HedgeAt}
+	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout()}, guide)
+	t.board = switchback.New(switchback.Options{
+		R: opt.Slots, Lease: n.heartbeat(opt.LeaseBeats), Wait: signpost.Ms(b.ConfigEffectMs, opt.SwitchWait),
+	})
+	t.stamp.Store(&hutbook.Stamp{})
+	t.rng.Full = func(id string) {
+		t.desk.post(func() { t.board.Answered(id, n.steady()); t.tick() })
+	}
+	t.rng.Silent = func(id string) {
+		t.desk.post(func() { t.board.Silent(id, n.steady()); t.tick() })
+	}
+	return t, nil
+}
+
+func (t *trail) start() {
+	t.desk.ask(func() {
+		t.huts = t.n.set().SeedIPs()
+		t.watchAll()
+	})
+	go t.serveReadiness()
+	go t.tickLoop()
+}
+
+func (t *trail) hutIPs() (out []string) {
+	t.desk.ask(func() { out = slices.Clone(t.huts) })
+	return out
+}
+
+// watchAll starts a watcher for each known hut; it runs on the desk.
+func (t *trail) watchAll() {
+	for _, ip := range t.huts {
+		if !t.watched[ip] {
+			t.watched[ip] = true
+			go t.watch(ip)
+		}
+	}
+}
+
+// watch keeps asking one hut for news, as long as it is one of the huts.
+func (t *trail) watch(ip string) {
+	n := t.n
+	brief := false
+	fails := 0
+	for {
+		select {
+		case <-n.stop:
+			return
+		default:
+		}
+		ask := watchAsk{Name: n.set().NodeName, IP: n.set().IpAddress, Slot: t.heldSlot.Load(), Stamp: *t.stamp.Load(), Brief: brief}
+		var say watchSay
+		err := n.call.Ask(n.set().RopeAddr(ip), pathWatch, ask, &say, n.heartbeat(1.8))
+		if err != nil {
+			fails++
+			keep := true
+			t.desk.ask(func() {
+				delete(t.counts, ip)
+				if fails > 4 && !slices.Contains(t.huts, ip) && !slices.Contains(n.set().SeedIPs(), ip) {
+					keep = false
+					delete(t.watched, ip)
+				}
+			})
+			if !keep {
+				return
+			}
+			time.Sleep(time.Duration(float64(n.heartbeat(0.25)) * (0.5 + rand.Float64())))
+			t.more()
+			continue
+		}
+		fails = 0
+		near := say.Zone == n.set().Zone
+		t.desk.ask(func() { t.news(ip, say) })
+		behind := func() bool { return t.stamp.Load().Less(say.Stamp) }
+		late := func() bool { return t.heldSlot.Load() < say.Slot }
+		if !near && (behind() || late()) {
+			// The hut close by brings it cheaper, if it is there.
+			time.Sleep(n.heartbeat(0.05))
+		}
+		brief = !near && !behind()
+		for i := 0; late() && i < 20; i++ {
+			t.fetch(ip)
+			if late() {
+				time.Sleep(n.heartbeat(0.02))
+			}
+		}
+	}
+}
+
+// more looks for huts in the view when those known don't answer.
+func (t *trail) more() {
+	var found []string
+	t.n.view.ask(func() { found = t.n.way.Huts() })
+	found = append(found, t.n.set().SeedIPs()...)
+	t.desk.ask(func() {
+		for _, ip := range found {
+			if !t.watched[ip] && len(t.watched) < 12 {
+				t.watched[ip] = true
+				go t.watch(ip)
+			}
+		}
+	})
+}
+
+// news takes what a hut said; it runs on the desk.
+func (t *trail) news(ip string, say watchSay) {
+	if len(say.Huts) > 0 {
+		t.huts = say.Huts
+		t.watchAll()
+		for _, h := range say.Huts {
+			t.n.view.post(func() { t.n.way.Add(waymark.Node{Name: "hut-" + h, IP: h, Hut: true}) })
+		}
+	}
+	t.counts[ip] = say.Fronts
+	most := 1
+	for _, c := range t.counts {
+		most = max(most, c)
+	}
+	if most != t.nodes {
+		t.nodes = most
+		t.ledger.SetNodes(most)
+		t.rng.SetShare(most)
+	}
+	if say.Table != nil && (t.table == nil || t.table.Stamp.Less(say.Table.Stamp)) {
+		t.table = say.Table
+		st := say.Table.Stamp
+		t.stamp.Store(&st)
+		t.rng.SetTable(t.table)
+		t.board.Listed(t.table, t.n.steady())
+		t.tick()
+		t.publish()
+	}
+}
+
+// fetch brings the newest configuration from a hut.
+func (t *trail) fetch(ip string) {
+	if !t.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer t.fetching.Store(false)
+	start := time.Now()
+	rep, err := t.n.call.Call(t.n.set().RopeAddr(ip), "POST", pathState+"?brief", nil, []byte("{}"), signpost.Ms(t.n.set().Bounds.ConfigEffectMs, 0.3))
+	if err != nil || rep.Status != 200 {
+		return
+	}
+	var say stateSay
+	if json.Unmarshal(rep.Body, &say) != nil {
+		return
+	}
+	t.desk.ask(func() { t.take(say, time.Since(start)) })
+}
+
+// take puts decided state in its place; it runs on the desk. A node never
+// goes back to an older slot.
+func (t *trail) take(say stateSay, on time.Duration) {
+	if say.State.Slot <= t.slot {
+		return
+	}
+	t.slot = say.State.Slot
+	defer func() { t.heldSlot.Store(t.slot) }()
+	v := say.State.Version
+	if v <= t.board.LastBuilt {
+		return
+	}
+	c, err := signpost.ParseConfiguration([]byte(say.State.Body))
+	if err != nil {
+		logbook.Log(logbook.MessageRefused, "from", "hut", "err", err)
+		return
+	}
+	m := fork.Compile(c, fork.Limits{Header: 16 << 10, Body: 1 << 20, HeaderTimeout: signpost.Ms(t.n.set().Bounds.InTouchMs, 1), Idle: signpost.Ms(t.n.set().Bounds.InTouchMs, 3)})
+	t.maps[v] = m
+	age := time.Duration(say.AgeMs)*time.Millisecond + on
+	if t.board.Built(switchback.Cut{Version: v, Shards: m.Shards()}, age, t.n.steady()) {
+		t.publish()
+	} else {
+		logbook.Log(logbook.CutNext, "version", v, "current", t.board.Current.Version)
+	}
+	t.tick()
+}
+
+// tick moves the rollout on; it runs on the desk.
+func (t *trail) tick() {
+	old := t.board.Current.Version
+	switched, ready := t.board.Tick(t.n.steady())
+	freed := t.board.TakeFreed()
+	for _, f := range freed {
+		logbook.Log(logbook.SlotFreed, "shard", f.Shard, "searcher", f.Searcher, "why", f.Why)
+	}
+	if switched {
+		logbook.Log(logbook.CutSwitched, "from", old, "to", t.board.Current.Version, "ready", ready)
+	}
+	if switched || len(freed) > 0 {
+		t.publish()
+	}
+}
+
+// publish pins what is in force into a snapshot for the requests to come; it runs on the desk.
+func (t *trail) publish() {
+	m := t.maps[t.board.Current.Version]
+	if m == nil {
+		return
+	}
+	for v := range t.maps {
+		if v < t.board.Current.Version || v != t.board.Current.Version && (t.board.Next == nil || v != t.board.Next.Version) {
+			delete(t.maps, v)
+		}
+	}
+	s := &trailhead.Snapshot{Map: m, Holders: map[string][]string{}}
+	for _, shard := range t.board.Current.Shards {
+		s.Holders[shard] = t.board.Holders(shard)
+	}
+	for name, sv := range m.Services {
+		t.rng.SetLimit(name, int(sv.ConnectionLimit))
+	}
+	t.head.Set(s)
+	if t.front.Load() == nil {
+		t.open(m.Limits)
+	}
+	if t.table != nil && !t.n.leaving.Load() && t.ready.CompareAndSwap(false, true) {
+		logbook.Log(logbook.FrontReady, "version", m.Version, "searchers", len(t.table.Searchers))
+	}
+}
+
+// open starts the clients' listener; it runs on the desk, once.
+func (t *trail) open(l fork.Limits) {
+	lis := t.n.listener(l.Idle)
+	lis.MaxHeader, lis.ReadWithin = l.Header+(4<<10), l.HeaderTimeout
+	t.front.Store(&server.Hertz{})
+	go func() {
+		ln, ok := rope.Listen(t.n.set().ListenAddresses.FrontAddress, t.n.userTimeout(), t.n.heartbeat(0.1), t.n.stop)
+		if !ok {
+			return
+		}
+		t.ln.Store(&ln)
+		t.front.Store(rope.Serve(ln, lis, t.head.Handle))
+	}()
+}
+
+func (t *trail) serveReadiness() {
+	ln, ok := rope.Listen(t.n.set().ListenAddresses.ReadinessAddress, t.n.userTimeout(), t.n.heartbeat(0.1), t.n.stop)
+	if !ok {
+		return
+	}
+	rope.Serve(ln, t.n.listener(t.n.heartbeat(8)), func(_ context.Context, c *app.RequestContext) {
+		status := 503
+		if t.ready.Load() && !t.n.leaving.Load() {
+			status = 200
+		}
+		rope.Answer(c, status, map[string]bool{"Ready": status == 200})
+	})
+}
+
+// tickLoop ticks often while a cut waits, seldom otherwise.
+func (t *trail) tickLoop() {
+	for {
+		wait := t.n.heartbeat(0.4)
+		t.desk.ask(func() {
+			t.tick()
+			if t.board.Next != nil {
+				wait = signpost.Ms(t.n.set().Bounds.ConfigEffectMs, 0.02)
+			}
+		})
+		t.rng.Sweep(time.Now())
+		select {
+		case <-t.n.stop:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// leave lets the platform send its clients elsewhere, then ends what is under way.
+func (t *trail) leave(start time.Time, grace time.Duration) {
+	logbook.Log(logbook.FrontUnready, "why", "leaving")
+	t.head.Leave()
+	time.Sleep(time.Until(start.Add(grace / 2)))
+	if ln := t.ln.Load(); ln != nil {
+		(*ln).Close()
+	}
+	for time.Since(start) < grace*85/100 && t.head.Busy() > 0 {
+		time.Sleep(grace / 200)
+	}
+}
+
+// TrailStatus is the trail's part of the status.
+type TrailStatus struct {
+	Ready     bool
+	Slot      int64
+	LastBuilt int64
+	Current   int64
+	Next      int64 `json:",omitempty"`
+	Table     hutbook.Stamp
+	Searchers int
+	Fronts    int
+	Busy      int64
+	Slots     map[string][]string
+}
+
+func (t *trail) status() *TrailStatus {
+	st := &TrailStatus{Ready: t.ready.Load(), Busy: t.head.Busy(), Slots: map[string][]string{}}
+	t.desk.ask(func() {
+		st.Slot, st.LastBuilt, st.Current, st.Fronts = t.slot, t.board.LastBuilt, t.board.Current.Version, t.nodes
+		if t.board.Next != nil {
+			st.Next = t.board.Next.Version
+		}
+		if t.table != nil {
+			st.Table, st.Searchers = t.table.Stamp, len(t.table.Searchers)
+		}
+		for _, s := range t.board.Current.Shards {
+			st.Slots[s] = t.board.Holders(s)
+		}
+	})
+	return st
+}
--- /dev/null
+++ b/internal/logbook/logbook.go
@@ -0,0 +1,147 @@
+package logbook
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Event is the number of a kind of event.
+type Event int
+
+// The events, by part.
+const (
+	Started          Event = 1001
+	SettingsBad      Event = 1002
+	SettingsReloaded Event = 1003
+	SettingsKept     Event = 1004
+	Draining         Event = 1005
+	Stopped          Event = 1006
+	ListenFailed     Event = 1007
+	InvariantBroken  Event = 1008
+
+	MessageRefused Event = 2001
+	PeerSilent     Event = 2002
+
+	GenesisVoters Event = 3001
+	ConfigChosen  Event = 3002
+	VotersChosen  Event = 3003
+	ProposalLost  Event = 3004
+	CaughtUp      Event = 3005
+	JoinAsked     Event = 3006
+	IdentityNew   Event = 3007
+	ConfigRefused Event = 3008
+	DiskTrouble   Event = 3009
+	DiskBack      Event = 3010
+	HandedOver    Event = 3011
+	ReadUnsettled Event = 3012
+
+	DutyTaken   Event = 4001
+	DutyLeft    Event = 4002
+	ListFailed  Event = 4003
+	ListChanged Event = 4004
+	TableOld    Event = 4005
+
+	CutNext     Event = 5001
+	CutSwitched Event = 5002
+	SlotFreed   Event = 5003
+
+	FrontReady     Event = 6001
+	FrontUnready   Event = 6002
+	SearcherOut    Event = 6003
+	SearcherBack   Event = 6004
+	RequestRefused Event = 6005
+	AnswerBroken   Event = 6006
+)
+
+// Entry is a line of the catalogue.
+type Entry struct {
+	Event Event
+	Name  string
+	Level string
+	Means string
+}
+
+// Catalogue lists every event with what it means and what to do.
+var Catalogue = []Entry{
+	{Started, "started", "info", "The process is up; role, zone and ports are named."},
+	{SettingsBad, "settings-bad", "error", "The settings can't be used; the process ends. Mend the file."},
+	{SettingsReloaded, "settings-reloaded", "info", "A changed settings file was taken."},
+	{SettingsKept, "settings-kept", "warn", "A changed settings file can't be used; the old settings stay in force. Mend the file."},
+	{Draining, "draining", "info", "SIGTERM came; the node leaves in order within GraceS."},
+	{Stopped, "stopped", "info", "The process ends in order."},
+	{ListenFailed, "listen-failed", "error", "An address can't be listened on."},
+	{InvariantBroken, "invariant-broken", "error", "Something that can't be was seen; the process ends."},
+	{MessageRefused, "message-refused", "warn", "A malformed message from a node was refused."},
+	{PeerSilent, "peer-silent", "info", "A core node has not been heard for the time that counts as down."},
+	{GenesisVoters, "genesis-voters", "info", "First start: the seeds are the voters."},
+	{ConfigChosen, "config-chosen", "info", "A majority chose a configuration."},
+	{VotersChosen, "voters-chosen", "info", "A majority chose another set of voters."},
+	{ProposalLost, "proposal-lost", "info", "Another proposer was ahead; this one backs off."},
+	{CaughtUp, "caught-up", "info", "The node took the state up to a slot from another."},
+	{JoinAsked, "join-asked", "info", "A node without a vote asks for one."},
+	{IdentityNew, "identity-new", "info", "The disk was empty: the node has a new identity."},
+	{ConfigRefused, "config-refused", "info", "The operator's configuration was refused; the reason is named."},
+	{DiskTrouble, "disk-trouble", "warn", "A write was refused or takes long. The node votes on nothing it can't keep."},
+	{DiskBack, "disk-back", "info", "Writes go through again."},
+	{HandedOver, "handed-over", "info", "What a node had missed was handed to it."},
+	{ReadUnsettled, "read-unsettled", "info", "A read of the configuration found no majority."},
+	{DutyTaken, "duty-taken", "info", "This node now polls the platform's list, under the epoch named."},
+	{DutyLeft, "duty-left", "info", "This node no longer polls; another has the duty."},
+	{ListFailed, "list-failed", "warn", "The platform's list could not be read; the last one stays."},
+	{ListChanged, "list-changed", "info", "Searchers came, went or drain."},
+	{TableOld, "table-old", "info", "A table from a lower epoch was refused."},
+	{CutNext, "cut-next", "info", "A version with another cut is next; its searchers are being readied."},
+	{CutSwitched, "cut-switched", "info", "The cut in force changed; ready says whether all slots were ready."},
+	{SlotFreed, "slot-freed", "info", "A searcher lost its slot; a standby may take it."},
+	{FrontReady, "front-ready", "info", "The node calls itself ready for clients."},
+	{FrontUnready, "front-unready", "info", "The node calls itself not ready."},
+	{SearcherOut, "searcher-out", "info", "A searcher failed several times in a row and is left out for a while."},
+	{SearcherBack, "searcher-back", "info", "A searcher left out answers again."},
+	{RequestRefused, "request-refused", "debug", "A malformed or oversize request was refused."},
+	{AnswerBroken, "answer-broken", "debug", "A searcher's bytes formed no answer, or too many; its connection was ended."},
+}
+
+var (
+	mu    sync.Mutex
+	out   io.Writer = os.Stderr
+	byNum           = func() map[Event]Entry {
+		m := make(map[Event]Entry, len(Catalogue))
+		for _, e := range Catalogue {
+			m[e.Event] = e
+		}
+		return m
+	}()
+	debug bool
+	born  = time.Now()
+)
+
+// SetDebug turns events of level debug on or off.
+func SetDebug(on bool) { mu.Lock(); debug = on; mu.Unlock() }
+
+// SetOutput sends the lines elsewhere.
+func SetOutput(w io.Writer) { mu.Lock(); out = w; mu.Unlock() }
+
+// Log writes one event with pairs of keys and values.
+func Log(e Event, pairs ...any) {
+	en := byNum[e]
+	mu.Lock()
+	defer mu.Unlock()
+	if en.Level == "debug" && !debug {
+		return
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "t=%.3f E%d %s %s", time.Since(born).Seconds(), int(e), en.Level, en.Name)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		v := fmt.Sprint(pairs[i+1])
+		if v == "" || strings.ContainsAny(v, " \n\t\"") {
+			v = fmt.Sprintf("%q", v)
+		}
+		fmt.Fprintf(&b, " %v=%s", pairs[i], v)
+	}
+	b.WriteByte('\n')
+	_, _ = io.WriteString(out, b.String())
+}
--- /dev/null
+++ b/internal/rations/rations.go
@@ -0,0 +1,90 @@
+package rations
+
+import (
+	"sync"
+	"time"
+)
+
+const buckets = 20
+
+// Rules are the bounds as the settings give them.
+type Rules struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+	// Keep is the part of the budget that is used at most.
+	Keep float64
+}
+
+// Ledger counts requests and further tries per service.
+type Ledger struct {
+	mu    sync.Mutex
+	rules Rules
+	born  time.Duration
+	share int
+	rows  map[string]*row
+}
+
+type row struct {
+	at      int64
+	asked   [buckets]int32
+	further [buckets]int32
+	sumA    int32
+	sumF    int32
+}
+
+// New starts a ledger at now (steady time).
+func New(r Rules, now time.Duration) *Ledger {
+	return &Ledger{rules: r, born: now, rows: map[string]*row{}}
+}
+
+// SetNodes says how many nodes share the slack.
+func (l *Ledger) SetNodes(n int) { l.mu.Lock(); l.share = n; l.mu.Unlock() }
+
+func (l *Ledger) row(service string, now time.Duration) *row {
+	r := l.rows[service]
+	tick := int64(now / (l.rules.Window / buckets))
+	if r == nil {
+		r = &row{at: tick}
+		l.rows[service] = r
+	}
+	if tick-r.at >= buckets {
+		*r = row{at: tick}
+	}
+	for r.at < tick {
+		r.at++
+		i := r.at % buckets
+		r.sumA -= r.asked[i]
+		r.sumF -= r.further[i]
+		r.asked[i], r.further[i] = 0, 0
+	}
+	return r
+}
+
+// Ask counts a request for a service.
+func (l *Ledger) Ask(service string, now time.Duration) {
+	l.mu.Lock()
+	r := l.row(service, now)
+	r.asked[r.at%buckets]++
+	r.sumA++
+	l.mu.Unlock()
+}
+
+// Further asks for one further try and counts it where it is granted. A
+// node that has not lived for a window has no share of the slack: what its
+// earlier life spent is unknown.
+func (l *Ledger) Further(service string, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.row(service, now)
+	allowed := l.rules.Ratio * float64(r.sumA)
+	if now-l.born > l.rules.Window && l.share > 0 {
+		allowed += l.rules.Slack / float64(l.share)
+	}
+	if float64(r.sumF+1) > allowed*l.rules.Keep {
+		return false
+	}
+	r.further[r.at%buckets]++
+	r.sumF++
+	return true
+}
--- /dev/null
+++ b/internal/rope/conn.go
@@ -0,0 +1,185 @@
+package rope
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"golang.org/x/sys/unix"
+)
+
+// reader is a buffer over a connection in the shape that hertz parses from.
+type reader struct {
+	c    net.Conn
+	buf  []byte
+	r, w int
+}
+
+func (b *reader) fill(n int) error {
+	if b.r > 0 && (b.r == b.w || len(b.buf)-b.r < n) {
+		copy(b.buf, b.buf[b.r:b.w])
+		b.w -= b.r
+		b.r = 0
+	}
+	if len(b.buf) < n {
+		nb := make([]byte, max(n, 2*len(b.buf), 2048))
+		copy(nb, b.buf[:b.w])
+		b.buf = nb
+	}
+	for b.w-b.r < n {
+		m, err := b.c.Read(b.buf[b.w:])
+		b.w += m
+		if err != nil && b.w-b.r < n {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *reader) Peek(n int) ([]byte, error) {
+	if b.w-b.r < n {
+		if err := b.fill(n); err != nil {
+			return b.buf[b.r:b.w], err
+		}
+	}
+	return b.buf[b.r : b.r+n], nil
+}
+
+func (b *reader) Skip(n int) error {
+	if _, err := b.Peek(n); err != nil {
+		return err
+	}
+	b.r += n
+	return nil
+}
+
+func (b *reader) Release() error { return nil }
+func (b *reader) Len() int       { return b.w - b.r }
+
+func (b *reader) ReadByte() (byte, error) {
+	p, err := b.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+	b.r++
+	return p[0], nil
+}
+
+func (b *reader) ReadBinary(n int) ([]byte, error) {
+	p, err := b.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	b.r += n
+	return append([]byte(nil), p...), nil
+}
+
+// Conn is one connection that carries one request at a time.
+type Conn struct {
+	net.Conn
+	in reader
+	// Used counts the requests answered on it.
+	Used int
+	// IdleSince is when it was last put aside, IdleFor how long the peer keeps it.
+	IdleSince time.Time
+	IdleFor   time.Duration
+}
+
+// Control sets TCP_USER_TIMEOUT, so that a peer that fell silent is noticed.
+func Control(userTimeout time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+		})
+	}
+}
+
+// Dial opens a connection within the time given.
+func Dial(addr string, timeout, userTimeout time.Duration) (*Conn, error) {
+	d := net.Dialer{Timeout: timeout, Control: Control(userTimeout), KeepAlive: -1}
+	c, err := d.Dial("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	rc := &Conn{Conn: c}
+	rc.in.c = c
+	return rc, nil
+}
+
+// ErrSurplus says that bytes came which belong to no request.
+var ErrSurplus = errors.New("bytes that belong to no request")
+
+// ErrNoEnd says that an answer has no stated end, so that it can't be known to be whole.
+var ErrNoEnd = errors.New("answer without a stated end")
+
+// Exchange sends one request and reads its answer. sent tells whether any
+// byte may have gone out. After an error the connection must be closed.
+func (c *Conn) Exchange(request []byte, deadline time.Time, head bool, maxBody int, out *protocol.Response) (sent bool, err error) {
+	if c.in.Len() > 0 {
+		return false, ErrSurplus
+	}
+	if err := c.SetDeadline(deadline); err != nil {
+		return false, err
+	}
+	n, err := c.Write(request)
+	if err != nil {
+		return n > 0, err
+	}
+	out.SkipBody = head
+	for {
+		if err := resp.ReadHeader(&out.Header, &c.in); err != nil {
+			return true, err
+		}
+		code := out.Header.StatusCode()
+		if code >= 200 && code <= 599 {
+			break
+		}
+		if code != 100 && code != 102 && code != 103 {
+			return true, errors.New("status is no status")
+		}
+	}
+	if !out.Header.IsHTTP11() {
+		return true, errors.New("answer is not HTTP/1.1")
+	}
+	if !head && out.Header.ContentLength() == -2 && !out.Header.MustSkipContentLength() {
+		return true, ErrNoEnd
+	}
+	if err := resp.ReadRespBody(out, &c.in, maxBody); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return true, err
+	}
+	c.Used++
+	return true, nil
+}
+
+// Surplus tells whether more bytes came than the answer holds.
+func (c *Conn) Surplus() bool { return c.in.Len() > 0 }
+
+// Quiet tells whether a kept connection is still open with nothing to read.
+func (c *Conn) Quiet() bool {
+	if c.in.Len() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = e == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/rope/server.go
@@ -0,0 +1,113 @@
+package rope
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"golang.org/x/sys/unix"
+	"swiftswitch/internal/logbook"
+)
+
+func init() { hlog.SetLevel(hlog.LevelFatal) }
+
+// Listener says how one address is served.
+type Listener struct {
+	MaxHeader   int
+	MaxBody     int
+	ReadWithin  time.Duration
+	IdleFor     time.Duration
+	UserTimeout time.Duration
+}
+
+// Listen opens the listening socket, trying again while the address is taken
+// until stop is closed.
+func Listen(addr string, userTimeout, again time.Duration, stop <-chan struct{}) (net.Listener, bool) {
+	lc := &net.ListenConfig{Control: Control(userTimeout), KeepAlive: -1}
+	for {
+		ln, err := lc.Listen(context.Background(), "tcp4", addr)
+		if err == nil {
+			return ln, true
+		}
+		logbook.Log(logbook.ListenFailed, "addr", addr, "err", err)
+		select {
+		case <-stop:
+			return nil, false
+		case <-time.After(again):
+		}
+	}
+}
+
+// Serve starts a server on ln whose every request goes to handle: paths are
+// not normalised, nothing is added to answers, no body is touched.
+func Serve(ln net.Listener, l Listener, handle app.HandlerFunc) *server.Hertz {
+	h := server.New(
+		server.WithListener(ln),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxHeaderBytes(l.MaxHeader),
+		server.WithMaxRequestBodySize(l.MaxBody),
+		server.WithReadTimeout(l.ReadWithin),
+		server.WithKeepAliveTimeout(l.ReadWithin),
+		server.WithIdleTimeout(l.IdleFor),
+		server.WithReadBufferSize(2048),
+		server.WithUseRawPath(true),
+		server.WithUnescapePathValues(false),
+		server.WithRedirectTrailingSlash(false),
+		server.WithRedirectFixedPath(false),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithDisableDefaultDate(true),
+		server.WithDisableDefaultContentType(true),
+		server.WithDisablePrintRoute(true),
+		server.WithOnAccept(func(c net.Conn) context.Context {
+			setUserTimeout(c, l.UserTimeout)
+			_ = c.SetReadDeadline(time.Now().Add(l.ReadWithin))
+			return context.Background()
+		}),
+	)
+	h.Name = ""
+	h.NoRoute(handle)
+	h.NoMethod(handle)
+	go func() { _ = h.Engine.Run() }()
+	return h
+}
+
+func setUserTimeout(c net.Conn, d time.Duration) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
+	})
+}
+
+// Answer writes v as JSON.
+func Answer(c *app.RequestContext, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		status, b = 500, []byte(`{}`)
+	}
+	c.SetStatusCode(status)
+	c.Response.Header.SetContentType("application/json")
+	c.Response.SetBodyRaw(b)
+}
+
+// Read parses a node's message; on failure it answers 400 and returns false.
+func Read(c *app.RequestContext, v any) bool {
+	if err := json.Unmarshal(c.Request.Body(), v); err != nil {
+		logbook.Log(logbook.MessageRefused, "path", string(c.Request.Header.RequestURI()), "from", c.RemoteAddr(), "err", err)
+		Answer(c, 400, map[string]string{"Error": err.Error()})
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/trailhead/trailhead.go
@@ -0,0 +1,276 @@
+package trailhead
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"swiftswitch/internal/fork"
+	"swiftswitch/internal/gather"
+	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/traverse"
+)
+
+// Snapshot is what a request is pinned to: one configuration and the slots
+// of its cut. It is never changed.
+type Snapshot struct {
+	Map *fork.Map
+	// Holders names, for each shard of the cut, the searchers with a slot.
+	Holders map[string][]string
+}
+
+// Options are ratios.
+type Options struct {
+	// Soft is the part of the target that is used before a partial answer is weighed.
+	Soft float64
+	// Hard is the part of the client's time that is used before giving up.
+	Hard float64
+	// Late is what a late answer is taken to be worth beside one in time.
+	Late float64
+	// RetryIn, a part of the target, is when a refused client may come back.
+	RetryIn float64
+	// WriteWithin bounds the sending of an answer.
+	WriteWithin time.Duration
+}
+
+// Head serves clients.
+type Head struct {
+	opt   Options
+	guide *gather.Guide
+	now   atomic.Pointer[Snapshot]
+	leave atomic.Bool
+	busy  atomic.Int64
+	chain []filter
+}
+
+// New makes a head without a snapshot; until it has one it refuses.
+func New(o Options, g *gather.Guide) *Head {
+	h := &Head{opt: o, guide: g}
+	h.chain = []filter{h.pin, h.bound, h.read, h.route, h.times, h.serve}
+	return h
+}
+
+// Set puts a snapshot in force for the requests that come from now on.
+func (h *Head) Set(s *Snapshot) { h.now.Store(s) }
+
+// Current is the snapshot in force.
+func (h *Head) Current() *Snapshot { return h.now.Load() }
+
+// Leave makes every further answer the last on its connection.
+func (h *Head) Leave() { h.leave.Store(true) }
+
+// Busy counts the requests under way.
+func (h *Head) Busy() int64 { return h.busy.Load() }
+
+// visit is one request on its way through the chain.
+type visit struct {
+	c     *app.RequestContext
+	start time.Time
+	snap  *Snapshot
+	req   *traverse.Request
+	route *fork.Route
+	times gather.Times
+}
+
+// filter handles a visit and tells whether the next filter follows.
+type filter func(v *visit) bool
+
+// Handle is the handler for the clients' listener.
+func (h *Head) Handle(_ context.Context, c *app.RequestContext) {
+	h.busy.Add(1)
+	defer h.busy.Add(-1)
+	v := &visit{c: c, start: time.Now()}
+	for _, f := range h.chain {
+		if !f(v) {
+			break
+		}
+	}
+	if h.leave.Load() {
+		c.SetConnectionClose()
+	} else if v.snap != nil {
+		// The client must not come just when the node closes.
+		if s := int(v.snap.Map.Limits.Idle / time.Second); s > 1 {
+			c.Response.Header.Set("Keep-Alive", "timeout="+strconv.Itoa(s-1))
+		}
+	}
+	_ = c.GetConn().SetWriteTimeout(h.opt.WriteWithin)
+}
+
+func (h *Head) refuse(v *visit, status int, why string) bool {
+	v.c.Response.Reset()
+	v.c.Response.Header.SetNoDefaultContentType(true)
+	v.c.SetStatusCode(status)
+	v.c.Response.Header.SetContentType("text/plain")
+	v.c.Response.SetBodyString(why + "\n")
+	if status == 503 || status == 429 {
+		target := 100 * time.Millisecond
+		if v.route != nil {
+			target = v.route.Target
+		}
+		wait := float64(target) * h.opt.RetryIn * (0.5 + rand.Float64()) / float64(time.Second)
+		v.c.Response.Header.Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+	}
+	return false
+}
+
+// pin takes the snapshot that the request keeps to its end.
+func (h *Head) pin(v *visit) bool {
+	v.snap = h.now.Load()
+	if v.snap == nil {
+		return h.refuse(v, 503, "no configuration yet")
+	}
+	return true
+}
+
+// bound keeps clients within the operator's limits.
+func (h *Head) bound(v *visit) bool {
+	l := v.snap.Map.Limits
+	if len(v.c.Request.Header.RawHeaders())+len(v.c.Request.Header.RequestURI()) > l.Header {
+		v.c.SetConnectionClose()
+		return h.refuse(v, 431, "headers too large")
+	}
+	if len(v.c.Request.Body()) > l.Body {
+		v.c.SetConnectionClose()
+		return h.refuse(v, 413, "body too large")
+	}
+	return true
+}
+
+// read checks the request strictly: nothing doubtful reaches a searcher.
+func (h *Head) read(v *visit) bool {
+	hd := &v.c.Request.Header
+	req, err := traverse.NewRequest(string(hd.Method()), string(hd.RequestURI()), hd.RawHeaders(), v.c.Request.Body())
+	if err != nil || !hd.IsHTTP11() {
+		logbook.Log(logbook.RequestRefused, "err", err)
+		v.c.SetConnectionClose()
+		return h.refuse(v, 400, "malformed request")
+	}
+	v.req = req
+	return true
+}
+
+// route finds the route, or there is none.
+func (h *Head) route(v *visit) bool {
+	path, _, _ := strings.Cut(v.req.Target, "?")
+	if v.route = v.snap.Map.Match(v.req.Host, path); v.route == nil {
+		return h.refuse(v, 404, "no route")
+	}
+	return true
+}
+
+// times sets the bounds of the request.
+func (h *Head) times(v *visit) bool {
+	limit := v.route.Timeout
+	if d := v.req.DeadlineMs; d >= 0 && d < float64(limit)/float64(time.Millisecond) {
+		limit = time.Duration(d * float64(time.Millisecond))
+	}
+	if limit < time.Millisecond {
+		return h.refuse(v, 504, "no time left")
+	}
+	v.times = gather.Times{
+		Start: v.start, Target: v.route.Target,
+		Soft:  v.start.Add(time.Duration(float64(v.route.Target) * h.opt.Soft)),
+		Hard:  v.start.Add(time.Duration(float64(limit) * h.opt.Hard)),
+		Until: v.start.Add(limit),
+	}
+	return true
+}
+
+// serve sends the request on and answers.
+func (h *Head) serve(v *visit) bool {
+	r := v.route
+	terms := gather.Terms{Attempts: r.Attempts, Safe: r.Safe, Need: 1, Late: h.opt.Late}
+	var legs []*gather.Leg
+	if len(r.Gathered) > 0 {
+		terms.Need = r.Share
+		for _, s := range r.Gathered {
+			holders := v.snap.Holders[s]
+			if holders == nil {
+				holders = []string{}
+			}
+			legs = append(legs, &gather.Leg{Service: s, Holders: holders})
+		}
+	} else {
+		legs = []*gather.Leg{{Service: r.Pick(rand.Float64())}}
+	}
+	p := gather.NewParty(terms, legs)
+	ok := h.guide.Run(p, v.req, v.times)
+	defer p.Release()
+	switch {
+	case ok && len(r.Gathered) > 0:
+		h.answerGathered(v, p)
+	case ok:
+		h.pass(v, &p.Legs[0].Good)
+	case len(r.Gathered) == 0 && p.Legs[0].Last.Resp != nil && p.Legs[0].Out == 0:
+		h.pass(v, &p.Legs[0].Last)
+	case !p.Ran():
+		h.refuse(v, 503, "no searcher can take this now")
+	case !time.Now().Before(v.times.Hard):
+		h.refuse(v, 504, "no answer in time")
+	default:
+		h.refuse(v, 502, "no whole answer")
+	}
+	return false
+}
+
+// pass gives a searcher's answer back as it is.
+func (h *Head) pass(v *visit, o *traverse.Outcome) {
+	out := &v.c.Response
+	out.SetStatusCode(o.Status)
+	named := map[string]bool{}
+	for _, n := range strings.Split(string(o.Resp.Header.Peek("Connection")), ",") {
+		named[strings.ToLower(strings.TrimSpace(n))] = true
+	}
+	o.Resp.Header.VisitAll(func(k, val []byte) {
+		name := string(k)
+		if traverse.IsHop(name) || named[strings.ToLower(name)] {
+			return
+		}
+		switch strings.ToLower(name) {
+		case "content-type":
+			out.Header.SetContentTypeBytes(val)
+		case "server":
+			out.Header.SetServerBytes(val)
+		case "content-encoding":
+			out.Header.SetContentEncodingBytes(val)
+		default:
+			out.Header.Add(name, string(val))
+		}
+	})
+	out.SetBodyRaw(append([]byte(nil), o.Resp.Body()...))
+	if out.StatusCode() == 503 || out.StatusCode() == 429 {
+		if len(out.Header.Peek("Retry-After")) == 0 {
+			wait := float64(v.route.Target) * h.opt.RetryIn * (0.5 + rand.Float64()) / float64(time.Second)
+			out.Header.Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+		}
+	}
+}
+
+// answerGathered merges the parts that are in.
+func (h *Head) answerGathered(v *visit, p *gather.Party) {
+	var bodies [][]byte
+	stamps := make([]byte, 0, 40*len(p.Legs))
+	for _, l := range p.Legs {
+		if !l.Done {
+			continue
+		}
+		bodies = append(bodies, l.Good.Resp.Body())
+		if len(stamps) > 0 {
+			stamps = append(stamps, ", "...)
+		}
+		stamps = append(stamps, l.Good.Stamp...)
+	}
+	out := &v.c.Response
+	out.SetStatusCode(200)
+	out.Header.SetContentType("application/octet-stream")
+	out.Header.Set(traverse.HeaderParts, string(stamps))
+	if missing := len(p.Legs) - p.Good(); missing > 0 {
+		out.Header.Set(traverse.HeaderMissing, strconv.Itoa(missing))
+	}
+	out.Header.Set(traverse.HeaderRequestID, v.req.ID)
+	out.SetBodyRaw(gather.Merge(bodies, v.route.Top))
+}
--- /dev/null
+++ b/internal/traverse/request.go
@@ -0,0 +1,161 @@
+package traverse
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Names of the headers that the system itself reads or writes.
+const (
+	HeaderRequestID = "Swiftswitch-Request-Id"
+	HeaderDeadline  = "Swiftswitch-Deadline-Milliseconds"
+	HeaderStamp     = "Swiftswitch-Server-Stamp"
+	HeaderExpected  = "Swiftswitch-Expected-Instance"
+	HeaderLoad      = "Swiftswitch-Server-Load"
+	HeaderNotRun    = "Swiftswitch-Not-Run"
+	HeaderInstance  = "Swiftswitch-Instance-Id"
+	HeaderParts     = "Swiftswitch-Part-Stamps"
+	HeaderMissing   = "Swiftswitch-Missing-Parts"
+)
+
+// Request is a client's request, ready to be sent any number of times.
+type Request struct {
+	ID     string
+	Host   string
+	Method string
+	Target string
+	// DeadlineMs is what the client gave, below 0 where it gave nothing.
+	DeadlineMs float64
+	head       []byte
+	body       []byte
+}
+
+// hop holds the headers that concern one connection only.
+var hop = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
+	"transfer-encoding": true, "upgrade": true, "content-length": true, "expect": true,
+	"proxy-authenticate": true, "proxy-authorization": true,
+}
+
+// IsHop tells whether a header concerns one connection only.
+func IsHop(name string) bool { return hop[strings.ToLower(name)] }
+
+// Errors of a request that no searcher may see.
+var (
+	ErrMalformed = errors.New("malformed request")
+	ErrSmuggling = errors.New("request whose end is in doubt")
+)
+
+// NewRequest reads a request's raw header lines strictly and keeps what goes on to searchers.
+func NewRequest(method, target string, raw, body []byte) (*Request, error) {
+	r := &Request{Method: method, Target: target, DeadlineMs: -1, body: append([]byte(nil), body...)}
+	for _, c := range []byte(target) {
+		if c <= ' ' || c == 0x7f {
+			return nil, ErrMalformed
+		}
+	}
+	type line struct{ name, value []byte }
+	var lines []line
+	named := map[string]bool{}
+	lengths, codings, hosts, ids, deadlines := 0, 0, 0, 0, 0
+	for len(raw) > 0 {
+		l := raw
+		if i := bytes.IndexByte(raw, '\n'); i >= 0 {
+			l, raw = raw[:i], raw[i+1:]
+		} else {
+			raw = nil
+		}
+		l = bytes.TrimSuffix(l, []byte("\r"))
+		if len(l) == 0 {
+			continue
+		}
+		colon := bytes.IndexByte(l, ':')
+		if colon <= 0 || !token(l[:colon]) || bytes.IndexByte(l, '\r') >= 0 || bytes.IndexByte(l, 0) >= 0 {
+			return nil, ErrMalformed
+		}
+		name, value := l[:colon], bytes.Trim(l[colon+1:], " \t")
+		switch strings.ToLower(string(name)) {
+		case "content-length":
+			lengths++
+			if n, err := strconv.ParseUint(string(value), 10, 62); err != nil || n != uint64(len(body)) {
+				return nil, ErrSmuggling
+			}
+		case "transfer-encoding":
+			codings++
+			if !strings.EqualFold(string(value), "chunked") {
+				return nil, ErrSmuggling
+			}
+		case "host":
+			hosts++
+			r.Host = string(value)
+		case "connection":
+			for _, n := range strings.Split(string(value), ",") {
+				named[strings.ToLower(strings.TrimSpace(n))] = true
+			}
+		case "swiftswitch-request-id":
+			ids++
+			r.ID = string(value)
+		case "swiftswitch-deadline-milliseconds":
+			deadlines++
+			f, err := strconv.ParseFloat(string(value), 64)
+			if err != nil || f != f || f < 0 {
+				return nil, ErrMalformed
+			}
+			r.DeadlineMs = f
+		}
+		lines = append(lines, line{name, value})
+	}
+	if lengths > 1 || codings > 1 || lengths+codings > 1 || hosts > 1 {
+		return nil, ErrSmuggling
+	}
+	if hosts == 0 || ids != 1 || r.ID == "" || deadlines > 1 {
+		return nil, ErrMalformed
+	}
+	b := make([]byte, 0, 512)
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	for _, l := range lines {
+		low := strings.ToLower(string(l.name))
+		if hop[low] || named[low] && low != "host" && !strings.HasPrefix(low, "swiftswitch-") ||
+			low == "swiftswitch-deadline-milliseconds" || low == "swiftswitch-expected-instance" {
+			continue
+		}
+		b = append(b, l.name...)
+		b = append(b, ": "...)
+		b = append(b, l.value...)
+		b = append(b, "\r\n"...)
+	}
+	if len(body) > 0 || lengths+codings > 0 {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	r.head = b
+	return r, nil
+}
+
+func token(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 0x7f || strings.IndexByte("()<>@,;:\\\"/[]?={}", c) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// bytesFor is the request as one searcher gets it.
+func (r *Request) bytesFor(instance string, leftMs int64) []byte {
+	b := make([]byte, 0, len(r.head)+len(r.body)+96)
+	b = append(b, r.head...)
+	b = append(b, HeaderDeadline...)
+	b = append(b, ": "...)
+	b = strconv.AppendInt(b, leftMs, 10)
+	b = append(b, "\r\n"+HeaderExpected+": "...)
+	b = append(b, instance...)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, r.body...)
+}
--- /dev/null
+++ b/internal/traverse/traverse.go
@@ -0,0 +1,519 @@
+package traverse
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"swiftswitch/internal/hutbook"
+	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/rope"
+)
+
+// Options are ratios and bounds; none is tied to a deployment.
+type Options struct {
+	Zone        string
+	UserTimeout time.Duration
+	DialWithin  time.Duration
+	MaxBody     int
+	// KeepIdle is how long a connection is kept where the searcher names no time.
+	KeepIdle time.Duration
+	// FailsOut consecutive failures leave a searcher out for OutFor, longer each time.
+	FailsOut int
+	OutFor   time.Duration
+	// FarPenalty is added, as a part of the target, to the score of a searcher in another zone.
+	FarPenalty float64
+	// Forget is how long a measured latency keeps its weight without new ones.
+	Forget time.Duration
+}
+
+// Verdict says what became of a try.
+type Verdict int
+
+// The verdicts.
+const (
+	// Answered: the searcher ran the request and its whole answer is in.
+	Answered Verdict = iota
+	// NotRun: the searcher promised that it did not run the request.
+	NotRun
+	// Unsent: no byte went out.
+	Unsent
+	// Unknown: bytes went out and no whole answer came.
+	Unknown
+)
+
+// Outcome is the end of one try.
+type Outcome struct {
+	Verdict Verdict
+	Peer    *Peer
+	Status  int
+	Stamp   string
+	Resp    *protocol.Response
+	Err     error
+}
+
+// Good tells whether the outcome is a success with its stamp.
+func (o Outcome) Good() bool {
+	return o.Verdict == Answered && o.Status >= 200 && o.Status < 300 && o.Stamp != ""
+}
+
+// Release gives the answer's memory back.
+func (o *Outcome) Release() {
+	if o.Resp != nil {
+		protocol.ReleaseResponse(o.Resp)
+		o.Resp = nil
+	}
+}
+
+// Peer is one searcher as this node sees it.
+type Peer struct {
+	hutbook.Searcher
+	near bool
+
+	inflight []time.Time
+	conns    int
+	idle     []*rope.Conn
+
+	ewma   float64
+	sample time.Time
+
+	running, waiting int
+	loadAt           time.Time
+
+	fails    int
+	outs     int
+	outUntil time.Time
+	gone     bool
+	// full and silent hold what the callbacks were last told.
+	full, silent bool
+}
+
+type track struct {
+	limit  int
+	recent [64]float64
+	n      int
+	p50    float64
+	p90    float64
+}
+
+// Range is the set of all searchers that this node may reach.
+type Range struct {
+	opt Options
+
+	mu       sync.Mutex
+	peers    map[string]*Peer
+	services map[string][]*Peer
+	tracks   map[string]*track
+	share    int
+	// Silent and Full are told of searchers that fall silent or answer fully.
+	Silent func(id string)
+	Full   func(id string)
+}
+
+// New makes an empty range.
+func New(o Options) *Range {
+	return &Range{opt: o, peers: map[string]*Peer{}, services: map[string][]*Peer{}, tracks: map[string]*track{}, share: 1,
+		Silent: func(string) {}, Full: func(string) {}}
+}
+
+// SetShare says how many front nodes share each searcher's connections.
+func (g *Range) SetShare(n int) { g.mu.Lock(); g.share = max(1, n); g.mu.Unlock() }
+
+// SetLimit says how many connections each searcher of a service takes.
+func (g *Range) SetLimit(service string, limit int) {
+	g.mu.Lock()
+	g.track(service).limit = limit
+	g.mu.Unlock()
+}
+
+func (g *Range) track(service string) *track {
+	t := g.tracks[service]
+	if t == nil {
+		t = &track{}
+		g.tracks[service] = t
+	}
+	return t
+}
+
+// SetTable takes the platform's list. Draining searchers get nothing more.
+func (g *Range) SetTable(t *hutbook.Table) {
+	var shut []*rope.Conn
+	g.mu.Lock()
+	seen := map[string]bool{}
+	services := map[string][]*Peer{}
+	for _, s := range t.Searchers {
+		if s.Drains {
+			continue
+		}
+		seen[s.ID] = true
+		p := g.peers[s.ID]
+		if p == nil {
+			p = &Peer{}
+			g.peers[s.ID] = p
+		}
+		p.Searcher, p.near = s, s.Zone == g.opt.Zone
+		services[s.Service] = append(services[s.Service], p)
+	}
+	for id, p := range g.peers {
+		if !seen[id] {
+			p.gone = true
+			shut = append(shut, p.idle...)
+			p.idle = nil
+			delete(g.peers, id)
+		}
+	}
+	g.services = services
+	g.mu.Unlock()
+	for _, c := range shut {
+		c.Close()
+	}
+}
+
+// Choose picks the searcher that promises to answer first, among holders
+// where they are given, leaving out those in not. It counts the try as under
+// way; Try must follow. target is the route's aim.
+func (g *Range) Choose(service string, holders []string, not []*Peer, target time.Duration) (*Peer, time.Time) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var best *Peer
+	bestScore := math.Inf(1)
+	t := g.track(service)
+	for _, p := range g.services[service] {
+		if holders != nil && !contains(holders, p.ID) || has(not, p) {
+			continue
+		}
+		if limit := g.limit(t); limit > 0 && len(p.inflight) >= limit {
+			continue
+		}
+		s := g.score(p, t, target, now)
+		if best == nil || s < bestScore {
+			best, bestScore = p, s
+		}
+	}
+	if best == nil {
+		return nil, now
+	}
+	best.inflight = append(best.inflight, now)
+	return best, now
+}
+
+func contains(l []string, s string) bool {
+	for _, x := range l {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func has(l []*Peer, p *Peer) bool {
+	for _, x := range l {
+		if x == p {
+			return true
+		}
+	}
+	return false
+}
+
+// score is the time, in milliseconds, after which an answer is expected.
+func (g *Range) score(p *Peer, t *track, target time.Duration, now time.Time) float64 {
+	base := t.p50
+	if base == 0 {
+		base = ms(target) / 8
+	}
+	lat := base
+	if p.ewma > 0 {
+		w := math.Exp(-float64(now.Sub(p.sample)) / float64(g.opt.Forget))
+		lat = p.ewma*w + base*(1-w)
+	}
+	slots := max(1, p.Slots)
+	queue := len(p.inflight)
+	if now.Sub(p.loadAt) < g.opt.Forget/4 {
+		queue = max(queue, p.running+p.waiting)
+	}
+	s := lat * (1 + 0.3*float64(queue)/float64(slots))
+	if over := queue + 1 - slots; over > 0 {
+		s += lat * float64(over) / float64(slots)
+	}
+	if p.Cold {
+		s += lat * 0.6
+	}
+	if !p.near {
+		s += g.opt.FarPenalty * ms(target)
+	}
+	if len(p.inflight) > 0 {
+		// Somebody who keeps a request for long is not as fast as its past.
+		if age := ms(now.Sub(p.inflight[0])); age > 2*lat {
+			s += age
+		}
+	}
+	s += float64(p.fails) * lat
+	if now.Before(p.outUntil) || p.fails >= g.opt.FailsOut && len(p.inflight) > 0 {
+		s += 1e7
+	}
+	return s
+}
+
+func (g *Range) limit(t *track) int {
+	if t.limit <= 0 {
+		return 0
+	}
+	return max(1, t.limit/g.share)
+}
+
+// Latency gives the median and the ninth decile of a service's lately measured latencies; 0 where nothing is known.
+func (g *Range) Latency(service string) (p50, p90 time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.track(service)
+	return time.Duration(t.p50 * 1e6), time.Duration(t.p90 * 1e6)
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// connection takes the idle connection that has rested longest: whatever a
+// searcher sent too much has had the time to come and be noticed.
+func (g *Range) connection(p *Peer, now time.Time) *rope.Conn {
+	for {
+		g.mu.Lock()
+		if len(p.idle) == 0 {
+			p.conns++
+			g.mu.Unlock()
+			return nil
+		}
+		c := p.idle[0]
+		p.idle = p.idle[1:]
+		g.mu.Unlock()
+		if now.Sub(c.IdleSince) < c.IdleFor && c.Quiet() {
+			return c
+		}
+		g.drop(p, c)
+	}
+}
+
+func (g *Range) drop(p *Peer, c *rope.Conn) {
+	if c != nil {
+		c.Close()
+	}
+	g.mu.Lock()
+	p.conns--
+	g.mu.Unlock()
+}
+
+// Try sends the request to a chosen searcher and waits for its answer until
+// the deadline. It never sends anything twice.
+func (g *Range) Try(p *Peer, r *Request, start, deadline time.Time) Outcome {
+	o := g.try(p, r, deadline)
+	o.Peer = p
+	g.learn(p, &o, start)
+	return o
+}
+
+func (g *Range) try(p *Peer, r *Request, deadline time.Time) Outcome {
+	now := time.Now()
+	left := deadline.Sub(now)
+	if left < time.Millisecond {
+		return Outcome{Verdict: Unsent, Err: errLate}
+	}
+	c := g.connection(p, now)
+	if c == nil {
+		var err error
+		if c, err = rope.Dial(p.Addr, min(left, g.opt.DialWithin), g.opt.UserTimeout); err != nil {
+			g.drop(p, nil)
+			return Outcome{Verdict: Unsent, Err: err}
+		}
+		left = time.Until(deadline)
+	}
+	out := protocol.AcquireResponse()
+	sent, err := c.Exchange(r.bytesFor(p.ID, int64(left/time.Millisecond)), deadline, r.Method == "HEAD", g.opt.MaxBody, out)
+	if err == nil {
+		if id := out.Header.Peek(HeaderRequestID); len(id) > 0 && string(id) != r.ID {
+			err = rope.ErrSurplus
+		}
+	}
+	if err != nil {
+		g.drop(p, c)
+		protocol.ReleaseResponse(out)
+		if !sent {
+			return Outcome{Verdict: Unsent, Err: err}
+		}
+		logbook.Log(logbook.AnswerBroken, "searcher", p.ID, "err", err)
+		return Outcome{Verdict: Unknown, Err: err}
+	}
+	o := Outcome{Verdict: Answered, Status: out.StatusCode(), Stamp: string(out.Header.Peek(HeaderStamp)), Resp: out}
+	if o.Status == 421 || len(out.Header.Peek(HeaderNotRun)) > 0 {
+		o.Verdict = NotRun
+	}
+	g.note(p, out)
+	if out.ConnectionClose() || c.Surplus() {
+		g.drop(p, c)
+	} else {
+		g.rest(p, c, out)
+	}
+	return o
+}
+
+var errLate = errorString("no time left")
+
+type errorString string
+
+func (e errorString) Error() string { return string(e) }
+
+// note reads the load that a searcher tells.
+func (g *Range) note(p *Peer, out *protocol.Response) {
+	v := out.Header.Peek(HeaderLoad)
+	if len(v) == 0 {
+		return
+	}
+	f := strings.Split(string(v), ",")
+	if len(f) != 3 {
+		return
+	}
+	running, e1 := strconv.Atoi(strings.TrimSpace(f[0]))
+	waiting, e2 := strconv.Atoi(strings.TrimSpace(f[1]))
+	if e1 != nil || e2 != nil {
+		return
+	}
+	g.mu.Lock()
+	p.running, p.waiting, p.loadAt = running, waiting, time.Now()
+	g.mu.Unlock()
+}
+
+// rest puts a connection aside for the next request.
+func (g *Range) rest(p *Peer, c *rope.Conn, out *protocol.Response) {
+	c.IdleSince, c.IdleFor = time.Now(), g.opt.KeepIdle
+	if ka := string(out.Header.Peek("Keep-Alive")); ka != "" {
+		for _, part := range strings.Split(ka, ",") {
+			if k, v, ok := strings.Cut(strings.TrimSpace(part), "="); ok && strings.EqualFold(k, "timeout") {
+				if n, err := strconv.Atoi(v); err == nil && n > 0 {
+					// A request must arrive before the searcher closes: leave a part unused.
+					c.IdleFor = time.Duration(float64(n) * 0.8 * float64(time.Second))
+				}
+			}
+		}
+	}
+	g.mu.Lock()
+	if p.gone {
+		g.mu.Unlock()
+		g.drop(p, c)
+		return
+	}
+	p.idle = append(p.idle, c)
+	g.mu.Unlock()
+}
+
+// learn takes what a try tells of its searcher.
+func (g *Range) learn(p *Peer, o *Outcome, start time.Time) {
+	now := time.Now()
+	took := ms(now.Sub(start))
+	full, silent := false, false
+	g.mu.Lock()
+	p.ended(start)
+	switch {
+	case o.Verdict == Answered || o.Verdict == NotRun && o.Status != 421:
+		if p.fails >= g.opt.FailsOut {
+			logbook.Log(logbook.SearcherBack, "searcher", p.ID)
+		}
+		p.fails, p.outs, p.outUntil = 0, 0, time.Time{}
+		if o.Verdict == Answered {
+			full = o.Good() && (!p.full || p.silent)
+			if full {
+				p.full, p.silent = true, false
+			}
+			if o.Status >= 500 {
+				took *= 2
+			}
+			if p.ewma == 0 {
+				p.ewma = took
+			} else {
+				p.ewma += 0.2 * (took - p.ewma)
+			}
+			p.sample = now
+			g.track(p.Service).add(took)
+		}
+	case o.Status == 421:
+		// Another searcher lives there now; the list will say so soon.
+		p.outUntil = now.Add(g.opt.OutFor)
+	case o.Err == errLate:
+	default:
+		p.fails++
+		if p.fails >= g.opt.FailsOut {
+			silent = !p.silent
+			p.silent = true
+			if !now.Before(p.outUntil) {
+				p.outs = min(p.outs+1, 3)
+				p.outUntil = now.Add(g.opt.OutFor << (p.outs - 1))
+				logbook.Log(logbook.SearcherOut, "searcher", p.ID, "err", o.Err)
+			}
+		}
+	}
+	g.mu.Unlock()
+	if full {
+		g.Full(p.ID)
+	}
+	if silent {
+		g.Silent(p.ID)
+	}
+}
+
+func (t *track) add(v float64) {
+	t.recent[t.n%len(t.recent)] = v
+	t.n++
+	if t.n%16 == 0 || t.n < 8 {
+		n := min(t.n, len(t.recent))
+		var s [64]float64
+		copy(s[:], t.recent[:n])
+		sortFloats(s[:n])
+		t.p50, t.p90 = s[n/2], s[min(n-1, n*9/10)]
+	}
+}
+
+func sortFloats(a []float64) {
+	for i := 1; i < len(a); i++ {
+		for j := i; j > 0 && a[j] < a[j-1]; j-- {
+			a[j], a[j-1] = a[j-1], a[j]
+		}
+	}
+}
+
+// Sweep closes connections that have rested too long.
+func (g *Range) Sweep(now time.Time) {
+	var shut []*rope.Conn
+	g.mu.Lock()
+	for _, p := range g.peers {
+		keep := p.idle[:0]
+		for _, c := range p.idle {
+			if now.Sub(c.IdleSince) >= c.IdleFor {
+				shut = append(shut, c)
+				p.conns--
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		p.idle = keep
+	}
+	g.mu.Unlock()
+	for _, c := range shut {
+		c.Close()
+	}
+}
+
+// Unchoose takes back a choice that was not followed by a try.
+func (g *Range) Unchoose(p *Peer, start time.Time) {
+	g.mu.Lock()
+	p.ended(start)
+	g.mu.Unlock()
+}
+
+func (p *Peer) ended(start time.Time) {
+	for i, t := range p.inflight {
+		if t.Equal(start) {
+			p.inflight = append(p.inflight[:i], p.inflight[i+1:]...)
+			return
+		}
+	}
+}
