--- /dev/null
+++ b/internal/cairn/trace_test.go
@@ -0,0 +1,207 @@
+package cairn
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// world holds acceptors and proposers; a trace says which message arrives when.
+type world struct {
+	accs map[string]*Acceptor
+	prop map[string]*Proposer
+	n    int64
+}
+
+func newWorld(ids string) *world {
+	w := &world{accs: map[string]*Acceptor{}, prop: map[string]*Proposer{}}
+	var voters []Voter
+	for _, id := range strings.Split(ids, ",") {
+		voters = append(voters, Voter{ID: id, IP: id})
+	}
+	for _, v := range voters {
+		w.accs[v.ID] = &Acceptor{ID: v.ID, State: State{Voters: voters}}
+	}
+	return w
+}
+
+func (w *world) play(line string) error {
+	f := strings.Fields(line)
+	switch f[0] {
+	case "start": // start P at A VERSION/BASE | start P at A voters A,B,C | start P at A finish
+		w.n++
+		base := w.accs[f[3]].State
+		var own *Value
+		switch {
+		case f[4] == "voters":
+			own = &Value{}
+			for _, id := range strings.Split(f[5], ",") {
+				own.Voters = append(own.Voters, Voter{ID: id, IP: id})
+			}
+		case f[4] != "finish":
+			v, b, _ := strings.Cut(f[4], "/")
+			vn, _ := strconv.ParseInt(v, 10, 64)
+			bn, _ := strconv.ParseInt(b, 10, 64)
+			own = &Value{Version: vn, Base: bn, Body: "body-" + v}
+		}
+		w.prop[f[1]] = NewProposer(base, Ballot{N: w.n, By: f[3]}, own)
+	case "to": // to P A,B: the message arrives and so does the answer
+		p := w.prop[f[1]]
+		st := p.Stage
+		ask := p.Ask()
+		for _, id := range strings.Split(f[2], ",") {
+			say, _ := w.accs[id].Take(ask)
+			p.Hear(st, say)
+		}
+	case "deaf": // deaf P A: the message arrives, the answer does not
+		p := w.prop[f[1]]
+		w.accs[f[2]].Take(p.Ask())
+		p.Lost()
+	case "lost":
+		w.prop[f[1]].Lost()
+	case "learn": // learn P A,B: the chosen value is told
+		p := w.prop[f[1]]
+		if p.Stage != Chosen {
+			return fmt.Errorf("%s has chosen nothing", f[1])
+		}
+		for _, id := range strings.Split(f[2], ",") {
+			w.accs[id].Learn(p.Base.Apply(p.Value))
+		}
+	case "copy": // copy A B: B takes A's state
+		w.accs[f[2]].Learn(w.accs[f[1]].State)
+	case "wipe": // wipe A B: A's disk is lost, B is its new identity, without any state
+		delete(w.accs, f[1])
+		w.accs[f[2]] = &Acceptor{ID: f[2]}
+	case "stage":
+		want := map[string]Stage{"preparing": Preparing, "accepting": Accepting, "chosen": Chosen, "behind": Behind, "outbid": Outbid}[f[2]]
+		if got := w.prop[f[1]].Stage; got != want {
+			return fmt.Errorf("stage is %d, want %s", got, f[2])
+		}
+	case "value": // value P VERSION mine|other
+		p := w.prop[f[1]]
+		if strconv.FormatInt(p.Value.Version, 10) != f[2] || p.Mine != (f[3] == "mine") {
+			return fmt.Errorf("value is %d, mine %v", p.Value.Version, p.Mine)
+		}
+	case "state": // state A SLOT VERSION
+		s := w.accs[f[1]].State
+		if got := fmt.Sprintf("%d %d", s.Slot, s.Version); got != f[2]+" "+f[3] {
+			return fmt.Errorf("state is %s", got)
+		}
+	default:
+		return fmt.Errorf("unknown step")
+	}
+	return nil
+}
+
+func TestTraces(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.trace")
+	if len(files) < 5 {
+		t.Fatalf("only %d traces", len(files))
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			raw, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w := newWorld("a,b,c")
+			for i, line := range strings.Split(string(raw), "\n") {
+				line, _, _ = strings.Cut(line, "#")
+				if strings.TrimSpace(line) == "" {
+					continue
+				}
+				if err := w.play(line); err != nil {
+					t.Fatalf("line %d (%s): %v", i+1, line, err)
+				}
+			}
+		})
+	}
+}
+
+// Whatever is lost, doubled or late, one slot never decides two values.
+func TestRandomSchedules(t *testing.T) {
+	for seed := uint64(1); seed <= 400; seed++ {
+		r := rand.New(rand.NewPCG(seed, 7))
+		w := newWorld("a,b,c,d,e")
+		ids := []string{"a", "b", "c", "d", "e"}
+		decided := map[int64]Value{}
+		type flight struct {
+			p   *Proposer
+			st  Stage
+			ask Ask
+			to  string
+		}
+		var air []flight
+		var props []*Proposer
+		send := func(p *Proposer) {
+			for _, id := range ids {
+				air = append(air, flight{p, p.Stage, p.Ask(), id})
+			}
+		}
+		for step := 0; step < 400; step++ {
+			if r.IntN(12) == 0 {
+				at := w.accs[ids[r.IntN(5)]]
+				w.n++
+				p := NewProposer(at.State, Ballot{w.n + int64(r.IntN(3)), at.ID}, &Value{Version: w.n + 1000, Base: at.State.Version})
+				props = append(props, p)
+				send(p)
+			}
+			if len(air) == 0 {
+				continue
+			}
+			i := r.IntN(len(air))
+			m := air[i]
+			if r.IntN(8) != 0 { // now and then a message stays and arrives again
+				air = append(air[:i], air[i+1:]...)
+			}
+			if r.IntN(6) == 0 {
+				continue
+			}
+			say, _ := w.accs[m.to].Take(m.ask)
+			if r.IntN(6) == 0 {
+				continue
+			}
+			was := m.p.Stage
+			m.p.Hear(m.st, say)
+			if m.p.Stage == Accepting && was != Accepting {
+				send(m.p)
+			}
+			if m.p.Stage == Chosen && was != Chosen {
+				slot := m.p.Base.Slot + 1
+				if d, ok := decided[slot]; ok && !d.Equal(m.p.Value) {
+					t.Fatalf("seed %d: slot %d decided %d and %d", seed, slot, d.Version, m.p.Value.Version)
+				}
+				decided[slot] = m.p.Value
+				for _, id := range ids {
+					if r.IntN(2) == 0 {
+						w.accs[id].Learn(m.p.Base.Apply(m.p.Value))
+					}
+				}
+			}
+		}
+		if len(decided) == 0 {
+			t.Fatalf("seed %d: nothing was decided", seed)
+		}
+	}
+}
+
+func TestResendIsKnown(t *testing.T) {
+	s := Genesis([]string{"1.1.1.1"})
+	for v := int64(1); v < 2*takenKept; v++ {
+		s = s.Apply(Value{Version: v, Base: v - 1, Body: fmt.Sprint(v)})
+	}
+	last := int64(2*takenKept - 1)
+	if !s.Has(last, last-1, fmt.Sprint(last)) || !s.Has(last-5, last-6, fmt.Sprint(last-5)) {
+		t.Fatal("a configuration taken lately is not known")
+	}
+	if s.Has(last, last-1, "other") || s.Has(last, last-2, fmt.Sprint(last)) {
+		t.Fatal("another configuration is taken for the one taken")
+	}
+	if len(s.Taken) != takenKept {
+		t.Fatalf("%d are remembered", len(s.Taken))
+	}
+}
--- /dev/null
+++ b/internal/gather/gather_test.go
@@ -0,0 +1,123 @@
+package gather
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"swiftswitch/internal/traverse"
+)
+
+func TestMerge(t *testing.T) {
+	rec := func(c byte, n byte) []byte { return append(bytes.Repeat([]byte{c}, 15), n) }
+	a := append(append(rec('b', 1), rec('a', 2)...), "rest"...)
+	b := append(append(rec('b', 1), rec('c', 0)...), rec('b', 2)...)
+	got := Merge([][]byte{a, b, nil}, 4)
+	want := bytes.Join([][]byte{rec('c', 0), rec('b', 2), rec('b', 1), rec('b', 1)}, nil)
+	if !bytes.Equal(got, want) {
+		t.Fatalf("got %q", got)
+	}
+	if got := Merge([][]byte{rec(0xff, 0), rec(0x7f, 0xff)}, 9); got[0] != 0xff || len(got) != 32 {
+		t.Fatalf("bytes are not compared unsigned: %x", got)
+	}
+	if got := Merge(nil, 3); len(got) != 0 {
+		t.Fatalf("nothing merged to %q", got)
+	}
+}
+
+// outcomes of a trace: ok:STAMP, 500, notrun, unsent, unknown.
+func outcome(word string) traverse.Outcome {
+	kind, stamp, _ := strings.Cut(word, ":")
+	o := traverse.Outcome{Resp: protocol.AcquireResponse(), Stamp: stamp}
+	switch kind {
+	case "ok":
+		o.Status = 200
+	case "nostamp":
+		o.Status, o.Stamp = 200, ""
+	case "500", "404":
+		o.Status, _ = strconv.Atoi(kind)
+		o.Stamp = "x"
+	case "notrun":
+		o.Verdict, o.Status = traverse.NotRun, 503
+	case "unsent":
+		return traverse.Outcome{Verdict: traverse.Unsent}
+	case "unknown":
+		return traverse.Outcome{Verdict: traverse.Unknown}
+	default:
+		panic(word)
+	}
+	return o
+}
+
+func play(p **Party, f []string) error {
+	leg := func(s string) int { n, _ := strconv.Atoi(s); return n }
+	switch f[0] {
+	case "party": // party LEGS ATTEMPTS safe|unsafe NEED LATE
+		t := Terms{Attempts: leg(f[2]), Safe: f[3] == "safe"}
+		t.Need, _ = strconv.ParseFloat(f[4], 64)
+		t.Late, _ = strconv.ParseFloat(f[5], 64)
+		var legs []*Leg
+		for i := 0; i < leg(f[1]); i++ {
+			legs = append(legs, &Leg{Service: fmt.Sprint("s", i)})
+		}
+		*p = NewParty(t, legs)
+	case "go":
+		(*p).Launched(leg(f[1]), &traverse.Peer{})
+	case "nobody":
+		(*p).Launched(leg(f[1]), nil)
+	case "gaveup":
+		(*p).GaveUp(leg(f[1]))
+	case "hear": // hear LEG OUTCOME again|wait
+		step, _ := (*p).Hear(leg(f[1]), outcome(f[2]))
+		if (step == Again) != (f[3] == "again") {
+			return fmt.Errorf("step is %d", step)
+		}
+	case "may": // may LEG yes|no: a hedge
+		if got := (*p).MayTry(leg(f[1])); got != (f[2] == "yes") {
+			return fmt.Errorf("may: %v", got)
+		}
+	case "verdict": // verdict early|soft|hard open|success|failure
+		over, ok := (*p).Verdict(f[1] != "early", f[1] == "hard")
+		got := "open"
+		if over {
+			got = map[bool]string{true: "success", false: "failure"}[ok]
+		}
+		if got != f[2] {
+			return fmt.Errorf("verdict is %s", got)
+		}
+	default:
+		return fmt.Errorf("unknown step %s", f[0])
+	}
+	return nil
+}
+
+func TestTraces(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.trace")
+	if len(files) < 4 {
+		t.Fatalf("only %d traces", len(files))
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			raw, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var p *Party
+			for i, line := range strings.Split(string(raw), "\n") {
+				line, _, _ = strings.Cut(line, "#")
+				f := strings.Fields(line)
+				if len(f) == 0 {
+					continue
+				}
+				if err := play(&p, f); err != nil {
+					t.Fatalf("line %d (%s): %v", i+1, strings.TrimSpace(line), err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/hutbook/hutbook_test.go
@@ -0,0 +1,25 @@
+package hutbook
+
+import "testing"
+
+func TestTables(t *testing.T) {
+	l := []Searcher{{ID: "b", Service: "s"}, {ID: "a", Service: "s"}}
+	one, changed := Next(nil, l, Stamp{1, "h", 1})
+	if !changed || one.Searchers[0].ID != "a" || one.Searchers[0].Entry != 1 || one.Searchers[1].Entry != 2 {
+		t.Fatalf("first table: %+v", one)
+	}
+	if _, changed := Next(one, l, Stamp{1, "h", 2}); changed {
+		t.Fatal("the same list is a change")
+	}
+	two, _ := Next(one, []Searcher{{ID: "a", Service: "s", Drains: true}, {ID: "0", Service: "s"}}, Stamp{1, "h", 2})
+	if two.Searchers[0].Entry != 3 || two.Searchers[1].Entry != 1 {
+		t.Fatalf("entries moved: %+v", two)
+	}
+	three, _ := Next(two, l, Stamp{2, "g", 1})
+	if !three.Searchers[0].Drains {
+		t.Fatal("a draining searcher came back")
+	}
+	if Merge(three, two) != three || Merge(two, three) != three || Merge(nil, one) != one || Merge(one, nil) != one {
+		t.Fatal("merge does not keep the newest")
+	}
+}
--- a/internal/lodge/life.go
+++ b/internal/lodge/life.go
@@ -76,4 +76,7 @@
 		n.hut.leave(start, grace)
 	}
 	close(n.stop)
+	for _, ln := range n.sockets {
+		ln.Close()
+	}
 }
--- a/internal/lodge/node.go
+++ b/internal/lodge/node.go
@@ -26,6 +26,7 @@
 	call     *rope.Client
 	stop     chan struct{}
 	leaving  atomic.Bool
+	sockets  []net.Listener
 
 	view *desk
 	way  *waymark.View
@@ -55,27 +56,45 @@
 	if dir != "" {
 		s.DataDirectory = dir
 	}
+	tune(s)
+	n, err := open(s, path, options)
+	if err != nil {
+		logbook.Log(logbook.SettingsBad, "err", err)
+		return 3
+	}
+	if n.begin() {
+		logbook.Log(logbook.Started, "node", s.NodeName, "role", s.Role, "zone", s.Zone, "hut", n.hut != nil, "trail", n.trail != nil)
+	}
+	n.signals()
+	logbook.Log(logbook.Stopped)
+	return 0
+}
+
+// open makes a node of its settings.
+func open(s *signpost.Settings, path string, options Options) (*Node, error) {
 	n := &Node{path: path, born: time.Now(), life: randomName(), stop: make(chan struct{})}
 	n.settings.Store(s)
-	tune(s)
 	n.call = rope.NewClient(4, signpost.Ms(s.Bounds.InTouchMs, 1), n.userTimeout(), n.maxMessage())
 	n.view = newDesk()
 	n.way = waymark.New(waymark.Node{Name: s.NodeName, IP: s.IpAddress, Zone: s.Zone, Hut: s.HasDisk()}, 8, 3)
-
+	var err error
 	if s.HasDisk() {
 		if n.hut, err = newHut(n); err != nil {
-			logbook.Log(logbook.SettingsBad, "err", err)
-			return 3
+			return nil, err
 		}
 	}
 	if slices.Contains(s.Serves, "front") {
 		if n.trail, err = newTrail(n, options); err != nil {
-			logbook.Log(logbook.SettingsBad, "err", err)
-			return 2
+			return nil, err
 		}
 	}
-	if n.serve() {
-		logbook.Log(logbook.Started, "node", s.NodeName, "role", s.Role, "zone", s.Zone, "hut", n.hut != nil, "trail", n.trail != nil)
+	return n, nil
+}
+
+// begin listens and starts the controllers.
+func (n *Node) begin() bool {
+	if !n.serve() {
+		return false
 	}
 	if n.hut != nil {
 		n.hut.start()
@@ -84,9 +103,7 @@
 		n.trail.start()
 	}
 	go n.shuffleLoop()
-	n.signals()
-	logbook.Log(logbook.Stopped)
-	return 0
+	return true
 }
 
 func randomName() string {
@@ -130,6 +147,7 @@
 			handle = n.handleControl
 		}
 		rope.Serve(ln, n.listener(signpost.Ms(s.Bounds.InTouchMs, 2)), handle)
+		n.sockets = append(n.sockets, ln)
 	}
 	return true
 }
--- /dev/null
+++ b/internal/rations/rations_test.go
@@ -0,0 +1,79 @@
+package rations
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Any mix of nodes, restarts among them, stays within the shared budget in every sliding window.
+func TestShared(t *testing.T) {
+	const ratio, slack = 0.2, 58.0
+	window := 10 * time.Second
+	for seed := uint64(1); seed <= 5; seed++ {
+		r := rand.New(rand.NewPCG(seed, 1))
+		rules := Rules{Ratio: ratio, Slack: slack, Window: window, Keep: 0.85}
+		nodes := make([]*Ledger, 9)
+		for i := range nodes {
+			nodes[i] = New(rules, 0)
+			nodes[i].SetNodes(len(nodes))
+		}
+		var asked, further []time.Duration
+		for now := time.Duration(0); now < time.Minute; now += 4 * time.Millisecond {
+			i := r.IntN(len(nodes))
+			if r.IntN(900) == 0 {
+				nodes[i] = New(rules, now)
+				nodes[i].SetNodes(len(nodes))
+			}
+			nodes[i].Ask("s", now)
+			asked = append(asked, now)
+			for k := r.IntN(3); k > 0; k-- {
+				if nodes[i].Further("s", now) {
+					further = append(further, now)
+				}
+			}
+		}
+		if len(further) < 100 {
+			t.Fatalf("only %d further tries were granted", len(further))
+		}
+		for _, from := range further {
+			a, f := 0, 0
+			for _, x := range asked {
+				if x >= from && x < from+window {
+					a++
+				}
+			}
+			for _, x := range further {
+				if x >= from && x < from+window {
+					f++
+				}
+			}
+			// The last windows are cut short by the end.
+			if from+window <= time.Minute && float64(f) > ratio*float64(a)+slack {
+				t.Fatalf("seed %d: window from %v: %d further tries for %d requests", seed, from, f, a)
+			}
+		}
+	}
+}
+
+func TestNoSlackAfterStart(t *testing.T) {
+	l := New(Rules{Ratio: 0.2, Slack: 100, Window: time.Second, Keep: 1}, 0)
+	l.SetNodes(1)
+	l.Ask("s", 0)
+	if l.Further("s", 0) {
+		t.Fatal("a node that just started used slack")
+	}
+	if !l.Further("s", 1100*time.Millisecond) {
+		t.Fatal("no slack after a window")
+	}
+	for i := 0; i < 4; i++ {
+		l.Ask("u", 5*time.Second)
+	}
+	l2 := New(Rules{Ratio: 0.25, Window: time.Second, Keep: 1}, 0)
+	for i := 0; i < 4; i++ {
+		l2.Ask("u", 0)
+	}
+	if !l2.Further("u", 0) || l2.Further("u", 0) || l2.Further("u", 3*time.Second) {
+		t.Fatal("the ratio is not kept, or old requests still count")
+	}
+}
--- a/internal/rope/server.go
+++ b/internal/rope/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"golang.org/x/sys/unix"
@@ -64,13 +65,13 @@
 		server.WithDisableDefaultDate(true),
 		server.WithDisableDefaultContentType(true),
 		server.WithDisablePrintRoute(true),
+		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 		server.WithOnAccept(func(c net.Conn) context.Context {
 			setUserTimeout(c, l.UserTimeout)
 			_ = c.SetReadDeadline(time.Now().Add(l.ReadWithin))
 			return context.Background()
 		}),
 	)
-	h.Name = ""
 	h.NoRoute(handle)
 	h.NoMethod(handle)
 	go func() { _ = h.Engine.Run() }()
--- /dev/null
+++ b/internal/switchback/trace_test.go
@@ -0,0 +1,106 @@
+package switchback
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"swiftswitch/internal/hutbook"
+)
+
+// play follows a trace whose lines begin with the time in milliseconds.
+func play(b *Board, table **hutbook.Table, f []string) error {
+	ms, err := strconv.Atoi(f[0])
+	if err != nil {
+		return err
+	}
+	now := time.Duration(ms) * time.Millisecond
+	switch f[1] {
+	case "list": // list SHARD:ID,ID! SHARD:... (! drains, * is cold)
+		var l []hutbook.Searcher
+		for _, g := range f[2:] {
+			shard, ids, _ := strings.Cut(g, ":")
+			for _, id := range strings.Split(ids, ",") {
+				if id == "" {
+					continue
+				}
+				l = append(l, hutbook.Searcher{ID: strings.TrimRight(id, "!*"), Service: shard, Drains: strings.HasSuffix(id, "!"), Cold: strings.HasSuffix(id, "*")})
+			}
+		}
+		*table, _ = hutbook.Next(*table, l, hutbook.Stamp{Epoch: 1, Seq: int64(ms) + 1})
+		b.Listed(*table, now)
+	case "built": // built VERSION SHARDS AGE at-once|waits
+		v, _ := strconv.ParseInt(f[2], 10, 64)
+		age, _ := strconv.Atoi(f[4])
+		once := b.Built(Cut{Version: v, Shards: strings.Split(f[3], ",")}, time.Duration(age)*time.Millisecond, now)
+		if once != (f[5] == "at-once") {
+			return fmt.Errorf("at once: %v", once)
+		}
+	case "tick": // tick stays|switches|switches-unready
+		sw, ready := b.Tick(now)
+		got := "stays"
+		if sw {
+			got = "switches"
+			if !ready {
+				got = "switches-unready"
+			}
+		}
+		if got != f[2] {
+			return fmt.Errorf("it %s", got)
+		}
+	case "silent":
+		b.Silent(f[2], now)
+	case "answered":
+		b.Answered(f[2], now)
+	case "holders": // holders SHARD IDS
+		want := ""
+		if len(f) > 3 {
+			want = f[3]
+		}
+		if got := strings.Join(b.Holders(f[2]), ","); got != want {
+			return fmt.Errorf("holders are %q", got)
+		}
+	case "pointers": // pointers LASTBUILT CURRENT NEXT
+		next := int64(0)
+		if b.Next != nil {
+			next = b.Next.Version
+		}
+		if got := fmt.Sprintf("%d %d %d", b.LastBuilt, b.Current.Version, next); got != strings.Join(f[2:5], " ") {
+			return fmt.Errorf("pointers are %s", got)
+		}
+	default:
+		return fmt.Errorf("unknown step %s", f[1])
+	}
+	return nil
+}
+
+func TestTraces(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.trace")
+	if len(files) < 5 {
+		t.Fatalf("only %d traces", len(files))
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			raw, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b := New(Options{R: 2, Lease: time.Second, Wait: 1200 * time.Millisecond})
+			var table *hutbook.Table
+			for i, line := range strings.Split(string(raw), "\n") {
+				line, _, _ = strings.Cut(line, "#")
+				f := strings.Fields(line)
+				if len(f) == 0 {
+					continue
+				}
+				if err := play(b, &table, f); err != nil {
+					t.Fatalf("line %d (%s): %v", i+1, strings.TrimSpace(line), err)
+				}
+			}
+		})
+	}
+}
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -74,6 +74,8 @@
 	req   *traverse.Request
 	route *fork.Route
 	times gather.Times
+	// last: the connection ends with this answer.
+	last bool
 }
 
 // filter handles a visit and tells whether the next filter follows.
@@ -89,7 +91,7 @@
 			break
 		}
 	}
-	if h.leave.Load() {
+	if v.last || h.leave.Load() {
 		c.SetConnectionClose()
 	} else if v.snap != nil {
 		// The client must not come just when the node closes.
@@ -101,8 +103,6 @@
 }
 
 func (h *Head) refuse(v *visit, status int, why string) bool {
-	v.c.Response.Reset()
-	v.c.Response.Header.SetNoDefaultContentType(true)
 	v.c.SetStatusCode(status)
 	v.c.Response.Header.SetContentType("text/plain")
 	v.c.Response.SetBodyString(why + "\n")
@@ -130,11 +130,11 @@
 func (h *Head) bound(v *visit) bool {
 	l := v.snap.Map.Limits
 	if len(v.c.Request.Header.RawHeaders())+len(v.c.Request.Header.RequestURI()) > l.Header {
-		v.c.SetConnectionClose()
+		v.last = true
 		return h.refuse(v, 431, "headers too large")
 	}
 	if len(v.c.Request.Body()) > l.Body {
-		v.c.SetConnectionClose()
+		v.last = true
 		return h.refuse(v, 413, "body too large")
 	}
 	return true
@@ -146,7 +146,7 @@
 	req, err := traverse.NewRequest(string(hd.Method()), string(hd.RequestURI()), hd.RawHeaders(), v.c.Request.Body())
 	if err != nil || !hd.IsHTTP11() {
 		logbook.Log(logbook.RequestRefused, "err", err)
-		v.c.SetConnectionClose()
+		v.last = true
 		return h.refuse(v, 400, "malformed request")
 	}
 	v.req = req
--- /dev/null
+++ b/internal/traverse/traverse_test.go
@@ -0,0 +1,104 @@
+package traverse
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"swiftswitch/internal/hutbook"
+)
+
+const lines = "Host: a.example\r\nSwiftswitch-Request-Id: r1\r\n"
+
+func TestRequests(t *testing.T) {
+	r, err := NewRequest("POST", "/a%2Fb/../c?q=1", []byte(lines+
+		"Swiftswitch-Deadline-Milliseconds: 250.5\r\nX-Own: 1\r\nX-Own: 2\r\nConnection: keep-alive, X-Gone\r\nX-Gone: y\r\nTE: trailers\r\nSwiftswitch-Expected-Instance: forged\r\nTransfer-Encoding: chunked\r\n"), []byte("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.ID != "r1" || r.Host != "a.example" || r.DeadlineMs != 250.5 {
+		t.Fatalf("read wrongly: %+v", r)
+	}
+	want := "POST /a%2Fb/../c?q=1 HTTP/1.1\r\nHost: a.example\r\nSwiftswitch-Request-Id: r1\r\nX-Own: 1\r\nX-Own: 2\r\nContent-Length: 4\r\n" +
+		"Swiftswitch-Deadline-Milliseconds: 99\r\nSwiftswitch-Expected-Instance: i-1\r\n\r\nbody"
+	if got := string(r.bytesFor("i-1", 99)); got != want {
+		t.Fatalf("sent on as\n%q, want\n%q", got, want)
+	}
+}
+
+func TestDoubtfulRequests(t *testing.T) {
+	for name, raw := range map[string]string{
+		"two lengths":          lines + "Content-Length: 4\r\nContent-Length: 4\r\n",
+		"length and coding":    lines + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+		"wrong length":         lines + "Content-Length: 5\r\n",
+		"signed length":        lines + "Content-Length: +4\r\n",
+		"other coding":         lines + "Transfer-Encoding: gzip, chunked\r\n",
+		"coding twice":         lines + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"space before colon":   lines + "Content-Length : 4\r\n",
+		"folded line":          lines + "X-A: 1\r\n Content-Length: 9\r\n",
+		"no colon":             lines + "Content-Length\r\n",
+		"bare return":          lines + "X-A: 1\rContent-Length: 9\r\n",
+		"no host":              "Swiftswitch-Request-Id: r1\r\n",
+		"two hosts":            lines + "Host: b.example\r\n",
+		"no id":                "Host: a.example\r\n",
+		"two ids":              lines + "Swiftswitch-Request-Id: r2\r\n",
+		"deadline not a time":  lines + "Swiftswitch-Deadline-Milliseconds: soon\r\n",
+		"deadline below zero":  lines + "Swiftswitch-Deadline-Milliseconds: -1\r\n",
+		"two deadlines differ": lines + "Swiftswitch-Deadline-Milliseconds: 1\r\nSwiftswitch-Deadline-Milliseconds: 2\r\n",
+	} {
+		if _, err := NewRequest("POST", "/a", []byte(raw), []byte("body")); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	for _, target := range []string{"/a b", "/a\r\nX: y", "/a\x00"} {
+		if _, err := NewRequest("GET", target, []byte(lines), nil); err == nil {
+			t.Errorf("target %q: taken", target)
+		}
+	}
+}
+
+func TestChoice(t *testing.T) {
+	g := New(Options{Zone: "near", FailsOut: 3, OutFor: time.Second, FarPenalty: 0.15, Forget: 3 * time.Second})
+	tab, _ := hutbook.Next(nil, []hutbook.Searcher{
+		{ID: "a", Service: "s", Zone: "near", Slots: 2}, {ID: "b", Service: "s", Zone: "far", Slots: 2},
+		{ID: "d", Service: "s", Zone: "near", Slots: 2, Drains: true}, {ID: "o", Service: "other", Zone: "near"},
+	}, hutbook.Stamp{Epoch: 1})
+	g.SetTable(tab)
+	target := 100 * time.Millisecond
+	p, start := g.Choose("s", nil, nil, target)
+	if p.ID != "a" {
+		t.Fatalf("the near one is not preferred: %s", p.ID)
+	}
+	if q, _ := g.Choose("s", nil, []*Peer{p}, target); q.ID != "b" {
+		t.Fatal("a second try does not go elsewhere")
+	}
+	if q, _ := g.Choose("s", []string{"x"}, nil, target); q != nil {
+		t.Fatal("a searcher without a slot was chosen")
+	}
+	var silent []string
+	g.Silent = func(id string) { silent = append(silent, id) }
+	g.learn(p, &Outcome{Verdict: Unknown}, start)
+	for i := 0; i < 2; i++ {
+		p.inflight = append(p.inflight, start)
+		g.learn(p, &Outcome{Verdict: Unknown}, start)
+	}
+	if len(silent) != 1 || silent[0] != "a" {
+		t.Fatalf("silence told: %v", silent)
+	}
+	if q, _ := g.Choose("s", nil, nil, target); q.ID != "b" {
+		t.Fatal("a searcher that failed three times is still first")
+	}
+	g.SetLimit("s", 4)
+	g.SetShare(4)
+	if q, _ := g.Choose("s", []string{"b"}, nil, target); q != nil {
+		t.Fatal("the connections that others need were taken")
+	}
+	var full []string
+	g.Full = func(id string) { full = append(full, id) }
+	for i := 0; i < 2; i++ {
+		g.learn(p, &Outcome{Verdict: Answered, Status: 200, Stamp: "x"}, start)
+	}
+	if strings.Join(full, ",") != "a" || p.fails != 0 {
+		t.Fatalf("a searcher that is back was told %v times", full)
+	}
+}
