Start: listen at once, ask huts again soon, keep the searcher table on disk

Cause: after a closing fault a front stood 0.2 s unready because its first call met a hut that was not up yet and it waited 150 to 450 ms; clients that came meanwhile were turned away. Now the listener opens at the start and holds requests up to half a heartbeat, retries begin at 24 ms, and huts keep the table on disk.

--- a/internal/lodge/duty.go
+++ b/internal/lodge/duty.go
@@ -68,6 +68,7 @@
 		}
 		logbook.Log(logbook.ListChanged, "searchers", len(t.Searchers), "epoch", stamp.Epoch, "seq", stamp.Seq)
 		h.table = t
+		h.put(recTable, t, nil)
 		h.announce()
 		h.spread(t)
 	})
@@ -93,6 +94,7 @@
 	h.duty.See(t.Stamp.Epoch, t.Stamp.By)
 	if m := hutbook.Merge(h.table, t); m != h.table {
 		h.table = m
+		h.put(recTable, m, nil)
 		h.announce()
 	}
 }
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -74,6 +74,7 @@
 	recState    = "state"
 	recBallot   = "ballot"
 	recEpoch    = "epoch"
+	recTable    = "table"
 )
 
 func newHut(n *Node) (*hut, error) {
@@ -86,7 +87,7 @@
 	var rec ballotRecord
 	var ep epochRecord
 	var id string
-	for name, v := range map[string]any{recIdentity: &id, recState: &h.acc.State, recBallot: &rec, recEpoch: &ep} {
+	for name, v := range map[string]any{recIdentity: &id, recState: &h.acc.State, recBallot: &rec, recEpoch: &ep, recTable: &h.table} {
 		raw, err := cel.Get(name)
 		if err != nil {
 			return nil, err
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/panjf2000/ants/v2"
 	"swiftswitch/internal/fork"
 	"swiftswitch/internal/gather"
@@ -77,8 +76,9 @@
 	stamp    atomic.Pointer[hutbook.Stamp]
 	fetching atomic.Bool
 
-	front atomic.Pointer[server.Hertz]
-	ln    atomic.Pointer[net.Listener]
+	ln atomic.Pointer[net.Listener]
+	// def are the limits for clients where the operator gives none.
+	def fork.Limits
 }
 
 func newTrail(n *Node, opt Options) (*trail, error) {
@@ -89,6 +89,7 @@
 		return nil, err
 	}
 	t := &trail{n: n, opt: opt, desk: newDesk(), pool: pool, maps: map[int64]*fork.Map{}, watched: map[string]bool{}, counts: map[string]int{}}
+	t.def = fork.Limits{Header: 16 << 10, Body: 1 << 20, HeaderTimeout: signpost.Ms(b.InTouchMs, 1), Idle: signpost.Ms(b.InTouchMs, 3)}
 	t.rng = traverse.New(traverse.Options{
 		Zone: s.Zone, UserTimeout: n.userTimeout(), DialWithin: signpost.Ms(b.InTouchMs, 0.125), MaxBody: n.maxMessage(),
 		KeepIdle: signpost.Ms(b.InTouchMs, 1), FailsOut: 3, OutFor: signpost.Ms(b.InTouchMs, 0.2),
@@ -98,7 +99,7 @@
 		Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: signpost.Sec(b.RetryWindowS, 1), Keep: opt.BudgetKeep,
 	}, n.steady())
 	guide := &gather.Guide{Range: t.rng, Ledger: t.ledger, Pool: pool, Steady: n.steady, HedgeAt: opt.HedgeAt}
-	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout()}, guide)
+	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5)}, guide)
 	t.board = switchback.New(switchback.Options{
 		R: opt.Slots, Lease: n.heartbeat(opt.LeaseBeats), Wait: signpost.Ms(b.ConfigEffectMs, opt.SwitchWait),
 	})
@@ -117,6 +118,7 @@
 		t.huts = t.n.set().SeedIPs()
 		t.watchAll()
 	})
+	t.open()
 	go t.serveReadiness()
 	go t.tickLoop()
 }
@@ -163,8 +165,11 @@
 			if !keep {
 				return
 			}
-			time.Sleep(time.Duration(float64(n.heartbeat(0.25)) * (0.5 + rand.Float64())))
-			t.more()
+			// A hut that starts together with this node is there in a moment.
+			time.Sleep(time.Duration(float64(min(n.heartbeat(0.02)<<min(fails, 4), n.heartbeat(0.25))) * (0.5 + rand.Float64())))
+			if fails > 2 {
+				t.more()
+			}
 			continue
 		}
 		fails = 0
@@ -266,7 +271,7 @@
 		logbook.Log(logbook.MessageRefused, "from", "hut", "err", err)
 		return
 	}
-	m := fork.Compile(c, fork.Limits{Header: 16 << 10, Body: 1 << 20, HeaderTimeout: signpost.Ms(t.n.set().Bounds.InTouchMs, 1), Idle: signpost.Ms(t.n.set().Bounds.InTouchMs, 3)})
+	m := fork.Compile(c, t.def)
 	t.maps[v] = m
 	age := time.Duration(say.AgeMs)*time.Millisecond + on
 	if t.board.Built(switchback.Cut{Version: v, Shards: m.Shards()}, age, t.n.steady()) {
@@ -311,27 +316,27 @@
 	for name, sv := range m.Services {
 		t.rng.SetLimit(name, int(sv.ConnectionLimit))
 	}
-	t.head.Set(s)
-	if t.front.Load() == nil {
-		t.open(m.Limits)
+	if t.table == nil {
+		return
 	}
-	if t.table != nil && !t.n.leaving.Load() && t.ready.CompareAndSwap(false, true) {
+	t.head.Set(s)
+	if !t.n.leaving.Load() && t.ready.CompareAndSwap(false, true) {
 		logbook.Log(logbook.FrontReady, "version", m.Version, "searchers", len(t.table.Searchers))
 	}
 }
 
-// open starts the clients' listener; it runs on the desk, once.
-func (t *trail) open(l fork.Limits) {
-	lis := t.n.listener(l.Idle)
-	lis.MaxHeader, lis.ReadWithin = l.Header+(4<<10), l.HeaderTimeout
-	t.front.Store(&server.Hertz{})
+// open starts the clients' listener. Until the node has a configuration and
+// a table, requests wait at its head.
+func (t *trail) open() {
+	lis := t.n.listener(t.def.Idle)
+	lis.MaxHeader, lis.ReadWithin = t.n.maxMessage()/16, t.def.HeaderTimeout
 	go func() {
 		ln, ok := rope.Listen(t.n.set().ListenAddresses.FrontAddress, t.n.userTimeout(), t.n.heartbeat(0.1), t.n.stop)
 		if !ok {
 			return
 		}
 		t.ln.Store(&ln)
-		t.front.Store(rope.Serve(ln, lis, t.head.Handle))
+		rope.Serve(ln, lis, t.head.Handle)
 	}()
 }
 
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -35,6 +35,8 @@
 	RetryIn float64
 	// WriteWithin bounds the sending of an answer.
 	WriteWithin time.Duration
+	// Hold is how long a request may wait for a node that just started.
+	Hold time.Duration
 }
 
 // Head serves clients.
@@ -45,17 +47,22 @@
 	leave atomic.Bool
 	busy  atomic.Int64
 	chain []filter
+	first chan struct{}
 }
 
 // New makes a head without a snapshot; until it has one it refuses.
 func New(o Options, g *gather.Guide) *Head {
-	h := &Head{opt: o, guide: g}
+	h := &Head{opt: o, guide: g, first: make(chan struct{})}
 	h.chain = []filter{h.pin, h.bound, h.read, h.route, h.times, h.serve}
 	return h
 }
 
 // Set puts a snapshot in force for the requests that come from now on.
-func (h *Head) Set(s *Snapshot) { h.now.Store(s) }
+func (h *Head) Set(s *Snapshot) {
+	if h.now.Swap(s) == nil {
+		close(h.first)
+	}
+}
 
 // Current is the snapshot in force.
 func (h *Head) Current() *Snapshot { return h.now.Load() }
@@ -119,7 +126,13 @@
 
 // pin takes the snapshot that the request keeps to its end.
 func (h *Head) pin(v *visit) bool {
-	v.snap = h.now.Load()
+	if v.snap = h.now.Load(); v.snap == nil {
+		select {
+		case <-h.first:
+			v.snap = h.now.Load()
+		case <-time.After(h.opt.Hold):
+		}
+	}
 	if v.snap == nil {
 		return h.refuse(v, 503, "no configuration yet")
 	}
