--- a/internal/gather/party.go
+++ b/internal/gather/party.go
@@ -127,6 +127,55 @@
 	return !l.Done && !l.Dead && len(l.Tried) < p.Terms.Attempts && (p.Terms.Safe || !l.MayHaveRun && l.Out == 0)
 }
 
+// HearGroup takes what another front gathered for several legs at once:
+// their stamps (empty where a part is not in) and the greatest records of
+// the parts that are. A part that came by itself in the meantime makes room,
+// for the group's records hold its shard's as well. It returns the legs that
+// may go to one more searcher; ok is false where the answer can't be used.
+func (p *Party) HearGroup(legs []int, stamps []string, records []byte) (again []int, ok bool) {
+	ok = len(legs) == len(stamps)
+	own := map[string]bool{}
+	for k, i := range legs {
+		if ok && stamps[k] != "" {
+			l := p.Legs[i]
+			ok = !own[stamps[k]] && (!p.stamps[stamps[k]] || l.Done && l.Good.Stamp == stamps[k])
+			own[stamps[k]] = true
+		}
+	}
+	first := true
+	for k, i := range legs {
+		l := p.Legs[i]
+		l.Out--
+		l.Sent = true
+		if ok && stamps[k] != "" {
+			if l.Done {
+				delete(p.stamps, l.Good.Stamp)
+				l.Good.Release()
+			} else {
+				l.Done = true
+				p.good++
+				p.open--
+			}
+			p.stamps[stamps[k]] = true
+			l.Good = traverse.Outcome{Status: 200, Stamp: stamps[k]}
+			if first {
+				l.Good.Body, first = records, false
+			}
+			continue
+		}
+		if l.Done {
+			continue
+		}
+		l.MayHaveRun = true
+		if p.MayTry(i) {
+			again = append(again, i)
+		} else {
+			p.settle(l)
+		}
+	}
+	return again, ok
+}
+
 // GaveUp notes that the next try of leg i was not to be had.
 func (p *Party) GaveUp(i int) { p.settle(p.Legs[i]) }
 
--- a/internal/gather/run.go
+++ b/internal/gather/run.go
@@ -17,6 +17,14 @@
 	Steady func() time.Duration
 	// HedgeAt is the part of the target after which a straggler gets company.
 	HedgeAt float64
+	// Across, where set, gathers legs in another zone by way of a front there.
+	Across Across
+}
+
+// Across asks a front in a zone for several legs of a request.
+type Across interface {
+	// Begin picks a front in the zone, or tells that there is none.
+	Begin(zone string) (call func(legs []int, wait time.Duration) (stamps []string, records []byte), ok bool)
 }
 
 // Times bound one request.
@@ -27,24 +35,45 @@
 	Hard   time.Time
 	// Until is what searchers are told: losers run on until then.
 	Until time.Time
+	// Lent: another front counts this request, this one only helps.
+	Lent bool
 }
 
 type heard struct {
 	leg int
 	out traverse.Outcome
+	// group holds the legs of an answer by way of another front.
+	group   []int
+	stamps  []string
+	records []byte
 }
 
 // Run sends the request along every leg and returns when it is over. Tries
 // that lost go on to their end on their own: a searcher at work is not broken off.
-func (g *Guide) Run(p *Party, r *traverse.Request, t Times) (success bool) {
+func (g *Guide) Run(p *Party, r *traverse.Request, t Times, across Across) (success bool) {
 	n := len(p.Legs)
 	results := make(chan heard, n*p.Terms.Attempts)
 	hedge := make([]time.Time, n)
+	var far []farLeg
 	for i, l := range p.Legs {
-		g.Ledger.Ask(l.Service, g.Steady())
-		g.launch(p, i, r, t, results)
+		if !t.Lent {
+			g.Ledger.Ask(l.Service, g.Steady())
+		}
 		_, p90 := g.Range.Latency(l.Service)
 		hedge[i] = t.Start.Add(max(p90, time.Duration(g.HedgeAt*float64(t.Target))))
+		peer, start := g.Range.Choose(l.Service, l.Holders, nil, t.Target)
+		switch {
+		case peer == nil:
+			p.Launched(i, nil)
+		case across != nil && !peer.Near():
+			far = append(far, farLeg{i, peer, start})
+		default:
+			g.send(p, i, peer, start, r, t, results)
+		}
+	}
+	for _, i := range g.cross(p, far, across, r, t, results) {
+		// The front asked answers a little after its own wait; what it lacks goes out then.
+		hedge[i] = t.Start.Add(time.Duration((g.HedgeAt + crossSlack) * float64(t.Target)))
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -97,13 +126,21 @@
 
 // drain releases the answers of tries that lost.
 func drain(results chan heard, n int) {
-	for ; n > 0; n-- {
+	for n > 0 {
 		h := <-results
 		h.out.Release()
+		n -= max(1, len(h.group))
 	}
 }
 
 func (g *Guide) hear(p *Party, h heard, r *traverse.Request, t Times, results chan heard) {
+	if h.group != nil {
+		again, _ := p.HearGroup(h.group, h.stamps, h.records)
+		for _, i := range again {
+			g.again(p, i, r, t, results)
+		}
+		return
+	}
 	step, kept := p.Hear(h.leg, h.out)
 	if !kept {
 		h.out.Release()
@@ -130,23 +167,76 @@
 	g.send(p, i, peer, start, r, t, results)
 }
 
-func (g *Guide) launch(p *Party, i int, r *traverse.Request, t Times, results chan heard) {
-	l := p.Legs[i]
-	peer, start := g.Range.Choose(l.Service, l.Holders, nil, t.Target)
-	if peer == nil {
-		p.Launched(i, nil)
-		return
+type farLeg struct {
+	leg   int
+	peer  *traverse.Peer
+	start time.Time
+}
+
+// crossWait and crossSlack are parts of the target: how long the front asked
+// may wait for its parts, and how much later than others its legs get company.
+const (
+	crossWait  = 0.45
+	crossSlack = 0.15
+)
+
+// cross sends the legs without a searcher in this zone: as many as possible
+// by way of one front in the zone that holds most of them, the rest directly.
+// It returns the legs that went with the front.
+func (g *Guide) cross(p *Party, far []farLeg, across Across, r *traverse.Request, t Times, results chan heard) []int {
+	var group []int
+	if len(far) > 1 {
+		count := map[string]int{}
+		most := ""
+		for _, f := range far {
+			for _, z := range g.Range.Zones(p.Legs[f.leg].Service, p.Legs[f.leg].Holders) {
+				// Of equals the one met last counts: the order of a map's walk spreads the load.
+				count[z]++
+			}
+		}
+		for z, n := range count {
+			if n > 1 && n > count[most] {
+				most = z
+			}
+		}
+		if most != "" {
+			if call, ok := across.Begin(most); ok {
+				var rest []farLeg
+				for _, f := range far {
+					l := p.Legs[f.leg]
+					if peer := g.Range.In(l.Service, l.Holders, most); peer != nil {
+						g.Range.Unchoose(f.peer, f.start)
+						p.Launched(f.leg, peer)
+						group = append(group, f.leg)
+					} else {
+						rest = append(rest, f)
+					}
+				}
+				far = rest
+				legs := group
+				job := func() {
+					stamps, records := call(legs, time.Duration(crossWait*float64(t.Target)))
+					results <- heard{group: legs, stamps: stamps, records: records}
+				}
+				if g.Pool.Submit(job) != nil {
+					go job()
+				}
+			}
+		}
 	}
-	g.send(p, i, peer, start, r, t, results)
+	for _, f := range far {
+		g.send(p, f.leg, f.peer, f.start, r, t, results)
+	}
+	return group
 }
 
 func (g *Guide) send(p *Party, i int, peer *traverse.Peer, start time.Time, r *traverse.Request, t Times, results chan heard) {
 	p.Launched(i, peer)
 	err := g.Pool.Submit(func() {
-		results <- heard{i, g.Range.Try(peer, r, start, t.Until)}
+		results <- heard{leg: i, out: g.Range.Try(peer, r, start, t.Until)}
 	})
 	if err != nil {
 		g.Range.Unchoose(peer, start)
-		results <- heard{i, traverse.Outcome{Verdict: traverse.Unsent, Peer: peer, Err: err}}
+		results <- heard{leg: i, out: traverse.Outcome{Verdict: traverse.Unsent, Peer: peer, Err: err}}
 	}
 }
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -16,6 +16,7 @@
 	"swiftswitch/internal/hutbook"
 	"swiftswitch/internal/logbook"
 	"swiftswitch/internal/rope"
+	"swiftswitch/internal/saddle"
 	"swiftswitch/internal/signpost"
 	"swiftswitch/internal/warden"
 	"swiftswitch/internal/waymark"
@@ -48,6 +49,9 @@
 	at   time.Duration
 	slot int64
 	ip   string
+	zone string
+	// ready: other fronts may ask it.
+	ready bool
 }
 
 type hutSeen struct {
@@ -387,11 +391,14 @@
 		news := false
 		h.desk.ask(func() {
 			now := h.n.steady()
-			h.fronts[m.Name] = frontSeen{now, m.Slot, m.IP}
+			h.fronts[m.Name] = frontSeen{now, m.Slot, m.IP, m.Zone, m.Ready}
 			say = watchSay{Zone: h.n.set().Zone, Slot: h.acc.State.Slot, Fronts: h.countFronts(now)}
 			for _, v := range h.acc.State.Voters {
 				say.Huts = append(say.Huts, v.IP)
 			}
+			if !m.Brief {
+				say.Roster = h.roster(now)
+			}
 			if h.table != nil {
 				say.Stamp = h.table.Stamp
 				if m.Stamp.Less(h.table.Stamp) {
@@ -417,6 +424,17 @@
 	}
 }
 
+// roster lists the fronts that are ready and were heard lately; it runs on the desk.
+func (h *hut) roster(now time.Duration) []saddle.Front {
+	var out []saddle.Front
+	for name, f := range h.fronts {
+		if f.ready && now-f.at < h.n.heartbeat(2.5) {
+			out = append(out, saddle.Front{Name: name, IP: f.ip, Zone: f.zone})
+		}
+	}
+	return out
+}
+
 // countFronts counts the fronts heard within the window of the retry budget; it runs on the desk.
 func (h *hut) countFronts(now time.Duration) int {
 	for name, f := range h.fronts {
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -3,6 +3,7 @@
 import (
 	"swiftswitch/internal/cairn"
 	"swiftswitch/internal/hutbook"
+	"swiftswitch/internal/saddle"
 	"swiftswitch/internal/waymark"
 )
 
@@ -17,6 +18,7 @@
 	pathWatch   = "/rope/watch"
 	pathShuffle = "/rope/shuffle"
 	pathPeek    = "/rope/peek"
+	pathSaddle  = "/rope/saddle"
 	pathStatus  = "/rope/status"
 	pathConfig  = "/-/configuration"
 )
@@ -72,6 +74,9 @@
 	IP    string
 	Slot  int64
 	Stamp hutbook.Stamp
+	// Zone and Ready: other fronts may ask this one to gather for them.
+	Zone  string `json:",omitempty"`
+	Ready bool   `json:",omitempty"`
 	// Brief: the table itself is not wanted, only word of it.
 	Brief bool `json:",omitempty"`
 }
@@ -83,6 +88,8 @@
 	Table  *hutbook.Table `json:",omitempty"`
 	Fronts int
 	Huts   []string
+	// Roster lists the fronts that are ready; brief answers lack it.
+	Roster []saddle.Front `json:",omitempty"`
 }
 
 type shuffle struct {
--- a/internal/lodge/node.go
+++ b/internal/lodge/node.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"swiftswitch/internal/logbook"
 	"swiftswitch/internal/rope"
+	"swiftswitch/internal/saddle"
 	"swiftswitch/internal/signpost"
 	"swiftswitch/internal/waymark"
 )
@@ -74,7 +75,7 @@
 func open(s *signpost.Settings, path string, options Options) (*Node, error) {
 	n := &Node{path: path, born: time.Now(), life: randomName(), stop: make(chan struct{})}
 	n.settings.Store(s)
-	n.call = rope.NewClient(4, signpost.Ms(s.Bounds.InTouchMs, 1), n.userTimeout(), n.maxMessage())
+	n.call = rope.NewClient(16, signpost.Ms(s.Bounds.InTouchMs, 1), n.userTimeout(), n.maxMessage())
 	n.view = newDesk()
 	n.way = waymark.New(waymark.Node{Name: s.NodeName, IP: s.IpAddress, Zone: s.Zone, Hut: s.HasDisk()}, 8, 3)
 	var err error
@@ -157,6 +158,18 @@
 	switch string(c.Request.URI().PathOriginal()) {
 	case pathShuffle:
 		n.handleShuffle(c)
+	case pathSaddle:
+		var m saddle.Ask
+		if !rope.Read(c, &m) {
+			return
+		}
+		if n.trail == nil {
+			rope.Answer(c, 404, map[string]string{"Error": "no front"})
+		} else if say, ok := n.trail.head.Lend(m); ok {
+			rope.Answer(c, 200, say)
+		} else {
+			rope.Answer(c, 409, map[string]string{"Error": "another version is in force here"})
+		}
 	case pathStatus:
 		rope.Answer(c, 200, n.Status())
 	case pathConfig:
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -17,6 +17,7 @@
 	"swiftswitch/internal/logbook"
 	"swiftswitch/internal/rations"
 	"swiftswitch/internal/rope"
+	"swiftswitch/internal/saddle"
 	"swiftswitch/internal/signpost"
 	"swiftswitch/internal/switchback"
 	"swiftswitch/internal/trailhead"
@@ -43,11 +44,13 @@
 	BudgetKeep float64
 	// FarPenalty, a part of the target, is what a searcher in another zone must be faster by.
 	FarPenalty float64
+	// Saddle: shards without a searcher in this zone are gathered by a front in another.
+	Saddle bool
 }
 
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Slots: 2, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.4, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.15}
+	return Options{Slots: 2, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.15, Saddle: true}
 }
 
 // trail is the part of a node that serves clients. Its tables belong to one desk.
@@ -60,6 +63,7 @@
 	ledger *rations.Ledger
 	head   *trailhead.Head
 	pool   *ants.Pool
+	choice *saddle.Choice
 	ready  atomic.Bool
 
 	// Owned by the desk.
@@ -100,6 +104,12 @@
 	}, n.steady())
 	guide := &gather.Guide{Range: t.rng, Ledger: t.ledger, Pool: pool, Steady: n.steady, HedgeAt: opt.HedgeAt}
 	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5)}, guide)
+	if opt.Saddle {
+		t.choice = saddle.NewChoice(n.heartbeat(1))
+		t.head.SetAcross(t.choice, func(ip string, ask saddle.Ask, say *saddle.Say, within time.Duration) error {
+			return n.call.Ask(n.set().RopeAddr(ip), pathSaddle, ask, say, within)
+		})
+	}
 	t.board = switchback.New(switchback.Options{
 		R: opt.Slots, Lease: n.heartbeat(opt.LeaseBeats), Wait: signpost.Ms(b.ConfigEffectMs, opt.SwitchWait),
 	})
@@ -149,7 +159,7 @@
 			return
 		default:
 		}
-		ask := watchAsk{Name: n.set().NodeName, IP: n.set().IpAddress, Slot: t.heldSlot.Load(), Stamp: *t.stamp.Load(), Brief: brief}
+		ask := watchAsk{Name: n.set().NodeName, IP: n.set().IpAddress, Slot: t.heldSlot.Load(), Stamp: *t.stamp.Load(), Brief: brief, Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load()}
 		var say watchSay
 		err := n.call.Ask(n.set().RopeAddr(ip), pathWatch, ask, &say, n.heartbeat(1.8))
 		if err != nil {
@@ -215,6 +225,9 @@
 			t.n.view.post(func() { t.n.way.Add(waymark.Node{Name: "hut-" + h, IP: h, Hut: true}) })
 		}
 	}
+	if say.Roster != nil && t.choice != nil {
+		t.choice.Set(say.Roster, t.n.set().NodeName)
+	}
 	t.counts[ip] = say.Fronts
 	most := 1
 	for _, c := range t.counts {
--- a/internal/rope/conn.go
+++ b/internal/rope/conn.go
@@ -175,11 +175,11 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Not Read: it fails once the last exchange's deadline has passed.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = e == unix.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
--- /dev/null
+++ b/internal/saddle/saddle.go
@@ -0,0 +1,102 @@
+package saddle
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Ask names shards of a gathered route by their places in its list. Both
+// sides hold the same version, so the route is found by the request itself.
+type Ask struct {
+	Version int64
+	Shards  []int
+	Head    string
+	Method  string
+	Target  string
+	Host    string
+	ID      string
+	// LeftMs is what the client has left, WaitMs when the answer must be on its way.
+	LeftMs int64
+	WaitMs int64
+}
+
+// Say holds the stamps of the parts that are in, by place, and the greatest
+// records of all of them.
+type Say struct {
+	Shards  []int
+	Stamps  []string
+	Records []byte
+}
+
+// Front is one front that may be asked.
+type Front struct {
+	Name string
+	IP   string
+	Zone string
+}
+
+// Choice picks fronts, leaving out those that failed lately.
+type Choice struct {
+	mu     sync.Mutex
+	outFor time.Duration
+	zones  map[string][]Front
+	busy   map[string]int
+	fails  map[string]int
+	out    map[string]time.Time
+}
+
+// NewChoice makes a choice among nobody; a front that failed is left out for outFor.
+func NewChoice(outFor time.Duration) *Choice {
+	return &Choice{outFor: outFor, zones: map[string][]Front{}, busy: map[string]int{}, fails: map[string]int{}, out: map[string]time.Time{}}
+}
+
+// Set takes the fronts that are ready.
+func (c *Choice) Set(fronts []Front, self string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zones = map[string][]Front{}
+	for _, f := range fronts {
+		if f.Name != self {
+			c.zones[f.Zone] = append(c.zones[f.Zone], f)
+		}
+	}
+}
+
+// Pick gives the less busy of two fronts of a zone; nil where there is none. Done must follow.
+func (c *Choice) Pick(zone string, now time.Time) *Front {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var in []Front
+	for _, f := range c.zones[zone] {
+		if now.After(c.out[f.IP]) {
+			in = append(in, f)
+		}
+	}
+	if len(in) == 0 {
+		return nil
+	}
+	a, b := in[rand.IntN(len(in))], in[rand.IntN(len(in))]
+	if c.busy[b.IP] < c.busy[a.IP] {
+		a = b
+	}
+	c.busy[a.IP]++
+	return &a
+}
+
+// Done ends a call; a front that failed twice in a row is left out for a while.
+func (c *Choice) Done(f *Front, ok bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy[f.IP]--; c.busy[f.IP] <= 0 {
+		delete(c.busy, f.IP)
+	}
+	if ok {
+		delete(c.fails, f.IP)
+		return
+	}
+	if c.fails[f.IP]++; c.fails[f.IP] >= 2 {
+		c.fails[f.IP] = 0
+		c.out[f.IP] = now.Add(c.outFor)
+	}
+}
--- /dev/null
+++ b/internal/trailhead/across.go
@@ -0,0 +1,105 @@
+package trailhead
+
+import (
+	"time"
+
+	"swiftswitch/internal/gather"
+	"swiftswitch/internal/saddle"
+	"swiftswitch/internal/traverse"
+)
+
+// Caller carries a call to another front.
+type Caller func(ip string, ask saddle.Ask, say *saddle.Say, within time.Duration) error
+
+// SetAcross lets gathered requests go by way of fronts in other zones.
+func (h *Head) SetAcross(c *saddle.Choice, call Caller) { h.choice, h.call = c, call }
+
+// crossing is one request's way across.
+type crossing struct {
+	h *Head
+	v *visit
+}
+
+// across is nil where the request is none that another front may gather for.
+func (h *Head) across(v *visit) gather.Across {
+	if h.choice == nil || len(v.route.Gathered) < 2 || !v.req.Plain() {
+		return nil
+	}
+	return crossing{h, v}
+}
+
+// Begin picks the front to ask.
+func (c crossing) Begin(zone string) (func([]int, time.Duration) ([]string, []byte), bool) {
+	front := c.h.choice.Pick(zone, time.Now())
+	if front == nil {
+		return nil, false
+	}
+	v := c.v
+	version, req, until := v.snap.Map.Version, v.req, v.times.Until
+	return func(legs []int, wait time.Duration) ([]string, []byte) {
+		left := time.Until(until)
+		ask := saddle.Ask{
+			Version: version, Shards: legs, Head: req.Head(), Method: req.Method, Target: req.Target, Host: req.Host, ID: req.ID,
+			LeftMs: left.Milliseconds(), WaitMs: wait.Milliseconds(),
+		}
+		var say saddle.Say
+		err := c.h.call(front.IP, ask, &say, min(left, 3*wait))
+		c.h.choice.Done(front, err == nil, time.Now())
+		stamps := make([]string, len(legs))
+		if err != nil || len(say.Shards) != len(say.Stamps) || len(say.Records)%gather.RecordSize != 0 {
+			return stamps, nil
+		}
+		for k, i := range legs {
+			for j, s := range say.Shards {
+				if s == i {
+					stamps[k] = say.Stamps[j]
+				}
+			}
+		}
+		return stamps, say.Records
+	}, true
+}
+
+// Lend gathers some shards for another front. It asks one searcher of each
+// and answers with what is in when the wait is over; false means that this
+// node does not hold the same version.
+func (h *Head) Lend(a saddle.Ask) (saddle.Say, bool) {
+	start := time.Now()
+	snap := h.now.Load()
+	if snap == nil || h.leave.Load() || snap.Map.Version != a.Version || a.LeftMs <= 0 || len(a.Shards) == 0 {
+		return saddle.Say{}, false
+	}
+	req := traverse.Lent(a.Head, a.Method, a.Target, a.Host, a.ID, a.LeftMs)
+	route := snap.Map.Match(a.Host, pathOf(a.Target))
+	if route == nil {
+		return saddle.Say{}, false
+	}
+	var legs []*gather.Leg
+	for _, i := range a.Shards {
+		if i < 0 || i >= len(route.Gathered) {
+			return saddle.Say{}, false
+		}
+		holders := snap.Holders[route.Gathered[i]]
+		if holders == nil {
+			holders = []string{}
+		}
+		legs = append(legs, &gather.Leg{Service: route.Gathered[i], Holders: holders})
+	}
+	h.busy.Add(1)
+	defer h.busy.Add(-1)
+	left := time.Duration(a.LeftMs) * time.Millisecond
+	wait := min(left, time.Duration(a.WaitMs)*time.Millisecond)
+	p := gather.NewParty(gather.Terms{Attempts: 1, Safe: true}, legs)
+	defer p.Release()
+	h.guide.Run(p, req, gather.Times{Start: start, Target: route.Target, Soft: start.Add(wait), Hard: start.Add(wait), Until: start.Add(left), Lent: true}, nil)
+	var say saddle.Say
+	var bodies [][]byte
+	for k, l := range legs {
+		if l.Done {
+			say.Shards, say.Stamps = append(say.Shards, a.Shards[k]), append(say.Stamps, l.Good.Stamp)
+			bodies = append(bodies, l.Good.Records())
+		}
+	}
+	say.Records = gather.Merge(bodies, route.Top)
+	return say, true
+}
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -12,6 +12,7 @@
 	"swiftswitch/internal/fork"
 	"swiftswitch/internal/gather"
 	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/saddle"
 	"swiftswitch/internal/traverse"
 )
 
@@ -48,6 +49,9 @@
 	busy  atomic.Int64
 	chain []filter
 	first chan struct{}
+
+	choice *saddle.Choice
+	call   Caller
 }
 
 // New makes a head without a snapshot; until it has one it refuses.
@@ -168,13 +172,17 @@
 
 // route finds the route, or there is none.
 func (h *Head) route(v *visit) bool {
-	path, _, _ := strings.Cut(v.req.Target, "?")
-	if v.route = v.snap.Map.Match(v.req.Host, path); v.route == nil {
+	if v.route = v.snap.Map.Match(v.req.Host, pathOf(v.req.Target)); v.route == nil {
 		return h.refuse(v, 404, "no route")
 	}
 	return true
 }
 
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
 // times sets the bounds of the request.
 func (h *Head) times(v *visit) bool {
 	limit := v.route.Timeout
@@ -211,7 +219,7 @@
 		legs = []*gather.Leg{{Service: r.Pick(rand.Float64())}}
 	}
 	p := gather.NewParty(terms, legs)
-	ok := h.guide.Run(p, v.req, v.times)
+	ok := h.guide.Run(p, v.req, v.times, h.across(v))
 	defer p.Release()
 	switch {
 	case ok && len(r.Gathered) > 0:
@@ -271,7 +279,7 @@
 		if !l.Done {
 			continue
 		}
-		bodies = append(bodies, l.Good.Resp.Body())
+		bodies = append(bodies, l.Good.Records())
 		if len(stamps) > 0 {
 			stamps = append(stamps, ", "...)
 		}
--- a/internal/traverse/request.go
+++ b/internal/traverse/request.go
@@ -147,6 +147,17 @@
 	return true
 }
 
+// Head gives the request line and headers as they go on; Plain tells whether that is all.
+func (r *Request) Head() string { return string(r.head) }
+
+// Plain tells whether the request has no body.
+func (r *Request) Plain() bool { return len(r.body) == 0 && r.Method == "GET" }
+
+// Lent is a request that another front has checked and passed on.
+func Lent(head, method, target, host, id string, leftMs int64) *Request {
+	return &Request{ID: id, Host: host, Method: method, Target: target, DeadlineMs: float64(leftMs), head: []byte(head)}
+}
+
 // bytesFor is the request as one searcher gets it.
 func (r *Request) bytesFor(instance string, leftMs int64) []byte {
 	b := make([]byte, 0, len(r.head)+len(r.body)+96)
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -52,7 +52,17 @@
 	Status  int
 	Stamp   string
 	Resp    *protocol.Response
-	Err     error
+	// Body stands for the answer's body where another front brought it.
+	Body []byte
+	Err  error
+}
+
+// Records is the body of the part.
+func (o *Outcome) Records() []byte {
+	if o.Resp != nil {
+		return o.Resp.Body()
+	}
+	return o.Body
 }
 
 // Good tells whether the outcome is a success with its stamp.
@@ -502,6 +512,41 @@
 	}
 }
 
+// Near tells whether the searcher is in this node's zone.
+func (p *Peer) Near() bool { return p.near }
+
+// usable tells whether a searcher may be asked now.
+func (g *Range) usable(p *Peer, holders []string, now time.Time) bool {
+	return (holders == nil || contains(holders, p.ID)) && p.fails < g.opt.FailsOut && now.After(p.outUntil)
+}
+
+// Zones lists the zones in which a service has a searcher in good order.
+func (g *Range) Zones(service string, holders []string) []string {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []string
+	for _, p := range g.services[service] {
+		if g.usable(p, holders, now) && !contains(out, p.Zone) {
+			out = append(out, p.Zone)
+		}
+	}
+	return out
+}
+
+// In gives a searcher of a service in a zone that is in good order, or nil.
+func (g *Range) In(service string, holders []string, zone string) *Peer {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.services[service] {
+		if p.Zone == zone && g.usable(p, holders, now) {
+			return p
+		}
+	}
+	return nil
+}
+
 // Unchoose takes back a choice that was not followed by a try.
 func (g *Range) Unchoose(p *Peer, start time.Time) {
 	g.mu.Lock()
