Company for stragglers only from searchers that are not full

Cause: in a burst near the searchers' capacity, hedges and tries after a full searcher added up to a fifth to the load.

--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/pprof"
 	"strconv"
 	"time"
 
@@ -47,7 +48,7 @@
 
 func runCmd() *cobra.Command {
 	opt := lodge.DefaultOptions()
-	var settings, dir string
+	var settings, dir, profile string
 	var debug bool
 	c := &cobra.Command{
 		Use: "run", Short: "Run a node until SIGTERM", Args: cobra.MaximumNArgs(1),
@@ -57,6 +58,16 @@
 			if opt.Slots < 1 || opt.SwitchWait < 0 || opt.SwitchWait > 0.8 {
 				return exit{exitBad, fmt.Errorf("--slots must be at least 1 and --switch-wait between 0 and 0.8")}
 			}
+			if profile != "" {
+				f, err := os.Create(profile)
+				if err != nil {
+					return exit{exitUsage, err}
+				}
+				if err := pprof.StartCPUProfile(f); err != nil {
+					return exit{exitUsage, err}
+				}
+				defer pprof.StopCPUProfile()
+			}
 			if code := lodge.Run(settings, dir, opt); code != 0 {
 				os.Exit(code)
 			}
@@ -66,6 +77,7 @@
 	f := c.Flags()
 	f.StringVar(&settings, "settings", signpost.SettingsPath(), "settings file (YAML)")
 	f.StringVar(&dir, "data", "", "data directory in place of the settings' DataDirectory")
+	f.StringVar(&profile, "cpu-profile", "", "write a processor profile to this file at the end")
 	f.BoolVar(&debug, "debug", false, "log events of level debug too")
 	f.IntVar(&opt.Slots, "slots", opt.Slots, "R: searchers that hold a slot of one shard at most")
 	f.Float64Var(&opt.SwitchWait, "switch-wait", opt.SwitchWait, "part of ConfigEffectMs for which an old cut may serve on")
--- a/internal/gather/run.go
+++ b/internal/gather/run.go
@@ -61,7 +61,7 @@
 		}
 		_, p90 := g.Range.Latency(l.Service)
 		hedge[i] = t.Start.Add(max(p90, time.Duration(g.HedgeAt*float64(t.Target))))
-		peer, start := g.Range.Choose(l.Service, l.Holders, nil, t.Target)
+		peer, start := g.Range.Choose(l.Service, l.Holders, nil, t.Target, false)
 		switch {
 		case peer == nil:
 			p.Launched(i, nil)
@@ -104,7 +104,7 @@
 					continue
 				}
 				hedge[i] = time.Time{}
-				g.again(p, i, r, t, results)
+				g.again(p, i, true, r, t, results)
 			}
 		}
 		timer.Reset(next.Sub(now))
@@ -137,7 +137,7 @@
 	if h.group != nil {
 		again, _ := p.HearGroup(h.group, h.stamps, h.records)
 		for _, i := range again {
-			g.again(p, i, r, t, results)
+			g.again(p, i, true, r, t, results)
 		}
 		return
 	}
@@ -146,15 +146,17 @@
 		h.out.Release()
 	}
 	if step == Again {
-		g.again(p, h.leg, r, t, results)
+		g.again(p, h.leg, h.out.Verdict == traverse.NotRun, r, t, results)
 	}
 }
 
 // again sends leg i to one more searcher, if there is one and the budget
-// grants it. As long as nothing went out, the next try is the first.
-func (g *Guide) again(p *Party, i int, r *traverse.Request, t Times, results chan heard) {
+// grants it. As long as nothing went out, the next try is the first. Company
+// for a straggler, and a try after a full searcher, want one that is not full
+// itself: under load they would only add to it.
+func (g *Guide) again(p *Party, i int, spare bool, r *traverse.Request, t Times, results chan heard) {
 	l := p.Legs[i]
-	peer, start := g.Range.Choose(l.Service, l.Holders, l.Tried, t.Target)
+	peer, start := g.Range.Choose(l.Service, l.Holders, l.Tried, t.Target, spare)
 	if peer == nil {
 		p.GaveUp(i)
 		return
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -184,8 +184,9 @@
 
 // Choose picks the searcher that promises to answer first, among holders
 // where they are given, leaving out those in not. It counts the try as under
-// way; Try must follow. target is the route's aim.
-func (g *Range) Choose(service string, holders []string, not []*Peer, target time.Duration) (*Peer, time.Time) {
+// way; Try must follow. target is the route's aim. With spare, only a
+// searcher that is not known to be full will do.
+func (g *Range) Choose(service string, holders []string, not []*Peer, target time.Duration, spare bool) (*Peer, time.Time) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -199,6 +200,9 @@
 		if limit := g.limit(t); limit > 0 && len(p.inflight) >= limit {
 			continue
 		}
+		if spare && g.queue(p, now) >= max(1, p.Slots) {
+			continue
+		}
 		s := g.score(p, t, target, now)
 		if best == nil || s < bestScore {
 			best, bestScore = p, s
@@ -241,10 +245,7 @@
 		lat = p.ewma*w + base*(1-w)
 	}
 	slots := max(1, p.Slots)
-	queue := len(p.inflight)
-	if now.Sub(p.loadAt) < g.opt.Forget/4 {
-		queue = max(queue, p.running+p.waiting)
-	}
+	queue := g.queue(p, now)
 	s := lat * (1 + 0.3*float64(queue)/float64(slots))
 	if over := queue + 1 - slots; over > 0 {
 		s += lat * float64(over) / float64(slots)
@@ -268,6 +269,15 @@
 	return s
 }
 
+// queue is how many requests a searcher is known to have: this node's own, or
+// as many as it told lately.
+func (g *Range) queue(p *Peer, now time.Time) int {
+	if now.Sub(p.loadAt) < g.opt.Forget/4 {
+		return max(len(p.inflight), p.running+p.waiting)
+	}
+	return len(p.inflight)
+}
+
 func (g *Range) limit(t *track) int {
 	if t.limit <= 0 {
 		return 0
--- a/internal/traverse/traverse_test.go
+++ b/internal/traverse/traverse_test.go
@@ -65,14 +65,14 @@
 	}, hutbook.Stamp{Epoch: 1})
 	g.SetTable(tab)
 	target := 100 * time.Millisecond
-	p, start := g.Choose("s", nil, nil, target)
+	p, start := g.Choose("s", nil, nil, target, false)
 	if p.ID != "a" {
 		t.Fatalf("the near one is not preferred: %s", p.ID)
 	}
-	if q, _ := g.Choose("s", nil, []*Peer{p}, target); q.ID != "b" {
+	if q, _ := g.Choose("s", nil, []*Peer{p}, target, false); q.ID != "b" {
 		t.Fatal("a second try does not go elsewhere")
 	}
-	if q, _ := g.Choose("s", []string{"x"}, nil, target); q != nil {
+	if q, _ := g.Choose("s", []string{"x"}, nil, target, false); q != nil {
 		t.Fatal("a searcher without a slot was chosen")
 	}
 	var silent []string
@@ -85,14 +85,19 @@
 	if len(silent) != 1 || silent[0] != "a" {
 		t.Fatalf("silence told: %v", silent)
 	}
-	if q, _ := g.Choose("s", nil, nil, target); q.ID != "b" {
+	if q, _ := g.Choose("s", nil, nil, target, false); q.ID != "b" {
 		t.Fatal("a searcher that failed three times is still first")
 	}
 	g.SetLimit("s", 4)
 	g.SetShare(4)
-	if q, _ := g.Choose("s", []string{"b"}, nil, target); q != nil {
+	if q, _ := g.Choose("s", []string{"b"}, nil, target, false); q != nil {
 		t.Fatal("the connections that others need were taken")
 	}
+	b := g.peers["b"]
+	b.running, b.waiting, b.loadAt = 2, 0, time.Now()
+	if q, _ := g.Choose("s", []string{"b"}, nil, target, true); q != nil {
+		t.Fatal("a full searcher was chosen as company for a straggler")
+	}
 	var full []string
 	g.Full = func(id string) { full = append(full, id) }
 	for i := 0; i < 2; i++ {
