Refuse whole requests while most of their shards are crowded

Cause: in a burst beyond the searchers' capacity, single legs were turned away after the others had run, so most work went into answers that failed. Now a request whose shards mostly have more than 2 x their slots to do (less by 15 % for each step of priority) gets 503 with Retry-After before anything runs. Told loads count less with age, so refusing alone does not keep the door shut.

--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -87,6 +87,7 @@
 	f.Float64Var(&opt.Late, "late-worth", opt.Late, "what a late answer is taken to be worth beside one in time")
 	f.Float64Var(&opt.BudgetKeep, "budget-keep", opt.BudgetKeep, "part of the retry budget that is used at most")
 	f.Float64Var(&opt.FarPenalty, "far-penalty", opt.FarPenalty, "part of the target by which a searcher in another zone must be faster")
+	f.Float64Var(&opt.Crowd, "crowd", opt.Crowd, "how many times its slots a searcher may have to do before requests of the highest priority are refused")
 	f.BoolVar(&opt.Saddle, "saddle", opt.Saddle, "gather shards without a searcher in this zone by way of a front in another")
 	return c
 }
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -44,13 +44,15 @@
 	BudgetKeep float64
 	// FarPenalty, a part of the target, is what a searcher in another zone must be faster by.
 	FarPenalty float64
+	// Crowd, times its slots, is how much a searcher may have to do before requests of the highest priority are refused.
+	Crowd float64
 	// Saddle: shards without a searcher in this zone are gathered by a front in another.
 	Saddle bool
 }
 
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Slots: 2, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.15, Saddle: true}
+	return Options{Slots: 2, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.15, Crowd: 2, Saddle: true}
 }
 
 // trail is the part of a node that serves clients. Its tables belong to one desk.
@@ -103,7 +105,7 @@
 		Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: signpost.Sec(b.RetryWindowS, 1), Keep: opt.BudgetKeep,
 	}, n.steady())
 	guide := &gather.Guide{Range: t.rng, Ledger: t.ledger, Pool: pool, Steady: n.steady, HedgeAt: opt.HedgeAt}
-	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5)}, guide)
+	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5), Crowd: opt.Crowd}, guide)
 	if opt.Saddle {
 		t.choice = saddle.NewChoice(n.heartbeat(1))
 		t.head.SetAcross(t.choice, func(ip string, ask saddle.Ask, say *saddle.Say, within time.Duration) error {
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -36,6 +36,8 @@
 	RetryIn float64
 	// WriteWithin bounds the sending of an answer.
 	WriteWithin time.Duration
+	// Crowd, times its slots, is how much a searcher may have to do before requests of the highest priority are refused.
+	Crowd float64
 	// Hold is how long a request may wait for a node that just started.
 	Hold time.Duration
 }
@@ -218,6 +220,9 @@
 	} else {
 		legs = []*gather.Leg{{Service: r.Pick(rand.Float64())}}
 	}
+	if h.crowded(legs, r.Priority) {
+		return h.refuse(v, 503, "all searchers are busy")
+	}
 	p := gather.NewParty(terms, legs)
 	ok := h.guide.Run(p, v.req, v.times, h.across(v))
 	defer p.Release()
@@ -238,6 +243,20 @@
 	return false
 }
 
+// crowded tells whether more than half of the legs would wait in a long
+// queue. Then the request is better refused before anything of it runs; the
+// lower its priority, the sooner.
+func (h *Head) crowded(legs []*gather.Leg, priority int) bool {
+	factor := h.opt.Crowd * (1 - 0.15*float64(min(priority, 4)))
+	n := 0
+	for _, l := range legs {
+		if h.guide.Range.Crowded(l.Service, l.Holders, factor) {
+			n++
+		}
+	}
+	return 2*n > len(legs)
+}
+
 // pass gives a searcher's answer back as it is.
 func (h *Head) pass(v *visit, o *traverse.Outcome) {
 	out := &v.c.Response
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -270,12 +270,35 @@
 }
 
 // queue is how many requests a searcher is known to have: this node's own, or
-// as many as it told lately.
+// what it told lately, which counts less the longer ago that was.
 func (g *Range) queue(p *Peer, now time.Time) int {
-	if now.Sub(p.loadAt) < g.opt.Forget/4 {
-		return max(len(p.inflight), p.running+p.waiting)
+	told := float64(p.running + p.waiting)
+	fresh, stale := g.opt.Forget/30, g.opt.Forget/8
+	if age := now.Sub(p.loadAt); age > stale {
+		told = 0
+	} else if age > fresh {
+		told *= float64(stale-age) / float64(stale-fresh)
 	}
-	return len(p.inflight)
+	return max(len(p.inflight), int(told))
+}
+
+// Crowded tells whether every searcher that may take a request has more than
+// factor times its slots to do already.
+func (g *Range) Crowded(service string, holders []string, factor float64) bool {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	any := false
+	for _, p := range g.services[service] {
+		if !g.usable(p, holders, now) {
+			continue
+		}
+		any = true
+		if float64(g.queue(p, now)) < factor*float64(max(1, p.Slots)) {
+			return false
+		}
+	}
+	return any
 }
 
 func (g *Range) limit(t *track) int {
