After a loss of everything: remember how many fronts there are; late requests yield

Cause: restarted huts counted no fronts, so each front took all connections of a searcher for itself; searchers reset what went beyond, and those resets used up the budget. Huts now keep the count on disk.

--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -36,6 +36,8 @@
 	duty    *warden.Duty
 	depot   *depot.Depot
 	fronts  map[string]frontSeen
+	// counted is how many fronts there are, before what an earlier life counted.
+	counted, before int
 	others  map[string]hutSeen
 	down    map[string]bool
 	changed chan struct{}
@@ -79,6 +81,7 @@
 	recBallot   = "ballot"
 	recEpoch    = "epoch"
 	recTable    = "table"
+	recFronts   = "fronts"
 )
 
 func newHut(n *Node) (*hut, error) {
@@ -91,7 +94,7 @@
 	var rec ballotRecord
 	var ep epochRecord
 	var id string
-	for name, v := range map[string]any{recIdentity: &id, recState: &h.acc.State, recBallot: &rec, recEpoch: &ep, recTable: &h.table} {
+	for name, v := range map[string]any{recIdentity: &id, recState: &h.acc.State, recBallot: &rec, recEpoch: &ep, recTable: &h.table, recFronts: &h.before} {
 		raw, err := cel.Get(name)
 		if err != nil {
 			return nil, err
@@ -435,14 +438,26 @@
 	return out
 }
 
-// countFronts counts the fronts heard within the window of the retry budget; it runs on the desk.
+// countFronts counts the fronts heard within the window of the retry budget.
+// A hut that just started goes by what it counted in its life before: after a
+// loss of everything the fronts must not think that each of them is alone. It
+// runs on the desk.
 func (h *hut) countFronts(now time.Duration) int {
+	window := signpost.Sec(h.n.set().Bounds.RetryWindowS, 1)
 	for name, f := range h.fronts {
-		if now-f.at > signpost.Sec(h.n.set().Bounds.RetryWindowS, 1) {
+		if now-f.at > window {
 			delete(h.fronts, name)
 		}
 	}
-	return len(h.fronts)
+	n := len(h.fronts)
+	if now < window {
+		n = max(n, h.before)
+	}
+	if n != h.counted {
+		h.counted = n
+		h.put(recFronts, n, nil)
+	}
+	return n
 }
 
 // held waits until every front that was heard lately holds slot, at most for the time given.
--- a/internal/lodge/lodge_test.go
+++ b/internal/lodge/lodge_test.go
@@ -311,6 +311,13 @@
 	}
 	// All come back from their disks, with other seeds than at first.
 	w.stop("4")
+	defer func() {
+		// The fronts are known to be two before either has been heard.
+		n := w.nodes["2"].hut
+		if n.before != 2 {
+			t.Errorf("%d fronts are remembered", n.before)
+		}
+	}()
 	w.run(4, false, 2)
 	w.run(1, false, 4)
 	w.run(2, false, 4, 1)
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,11 @@
 	WriteWithin time.Duration
 	// Crowd, times its slots, is how much a searcher may have to do before requests of the highest priority are refused.
 	Crowd float64
+	// Calm, times its slots, is how little a searcher must have to do for a late request to go on;
+	// Yield is the part of its time for which it waits for that at most, Waiting how many may wait.
+	Calm    float64
+	Yield   float64
+	Waiting int
 	// Hold is how long a request may wait for a node that just started.
 	Hold time.Duration
 }
@@ -52,6 +58,10 @@
 	chain []filter
 	first chan struct{}
 
+	// longest is the most time that a client of each route came with.
+	longest sync.Map
+	waiting atomic.Int64
+
 	choice *saddle.Choice
 	call   Caller
 }
@@ -87,6 +97,8 @@
 	req   *traverse.Request
 	route *fork.Route
 	times gather.Times
+	// spent is how long ago, as far as is known, the client first asked.
+	spent time.Duration
 	// last: the connection ends with this answer.
 	last bool
 }
@@ -194,15 +206,50 @@
 	if limit < time.Millisecond {
 		return h.refuse(v, 504, "no time left")
 	}
+	soft := time.Duration(float64(v.route.Target) * h.opt.Soft)
+	if v.spent = h.since(v); v.spent < soft {
+		soft -= v.spent
+	}
 	v.times = gather.Times{
 		Start: v.start, Target: v.route.Target,
-		Soft:  v.start.Add(time.Duration(float64(v.route.Target) * h.opt.Soft)),
+		Soft:  v.start.Add(soft),
 		Hard:  v.start.Add(time.Duration(float64(limit) * h.opt.Hard)),
 		Until: v.start.Add(limit),
 	}
 	return true
 }
 
+// since tells how long ago the client first asked: every client of a route
+// comes with the same time at first, and with less when it comes again.
+func (h *Head) since(v *visit) time.Duration {
+	d := v.req.DeadlineMs
+	if d < 0 {
+		return 0
+	}
+	most, _ := h.longest.LoadOrStore(v.route.Name, d)
+	if m := most.(float64); d < m {
+		return time.Duration((m - d) * float64(time.Millisecond))
+	} else if d > m {
+		h.longest.Store(v.route.Name, d)
+	}
+	return 0
+}
+
+// yield lets a request that is late already wait while its searchers are
+// busy: those that can still be in time go first. It waits for a part of what
+// its client has left at most, and only so many wait at a time.
+func (h *Head) yield(v *visit, legs []*gather.Leg) {
+	if v.spent < v.route.Target || h.waiting.Load() >= int64(h.opt.Waiting) {
+		return
+	}
+	h.waiting.Add(1)
+	defer h.waiting.Add(-1)
+	end := v.start.Add(time.Duration(float64(v.times.Until.Sub(v.start)) * h.opt.Yield))
+	for h.crowded(legs, h.opt.Calm) && time.Now().Before(end) {
+		time.Sleep(time.Duration(float64(v.route.Target) * 0.25 * (0.5 + rand.Float64())))
+	}
+}
+
 // serve sends the request on and answers.
 func (h *Head) serve(v *visit) bool {
 	r := v.route
@@ -220,7 +267,9 @@
 	} else {
 		legs = []*gather.Leg{{Service: r.Pick(rand.Float64())}}
 	}
-	if h.crowded(legs, r.Priority) {
+	h.yield(v, legs)
+	// The lower a request's priority, the sooner it is refused.
+	if h.crowded(legs, h.opt.Crowd*(1-0.15*float64(min(r.Priority, 4)))) {
 		return h.refuse(v, 503, "all searchers are busy")
 	}
 	p := gather.NewParty(terms, legs)
@@ -244,10 +293,9 @@
 }
 
 // crowded tells whether more than half of the legs would wait in a long
-// queue. Then the request is better refused before anything of it runs; the
-// lower its priority, the sooner.
-func (h *Head) crowded(legs []*gather.Leg, priority int) bool {
-	factor := h.opt.Crowd * (1 - 0.15*float64(min(priority, 4)))
+// queue, that is behind more than factor times the slots. Then the request is
+// better refused before anything of it runs.
+func (h *Head) crowded(legs []*gather.Leg, factor float64) bool {
 	n := 0
 	for _, l := range legs {
 		if h.guide.Range.Crowded(l.Service, l.Holders, factor) {
