Late requests make room under load; connections follow what searchers take

Cause: after an outage clients that had waited beyond the aim competed with fresh ones, and a searcher with a long queue shuts new connections, which counted as failures and used up the budget. New connections that are shut lower this node's room at that searcher for a while.

--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -38,10 +38,10 @@
 	fronts  map[string]frontSeen
 	// counted is how many fronts there are, before what an earlier life counted.
 	counted, before int
-	others  map[string]hutSeen
-	down    map[string]bool
-	changed chan struct{}
-	polling bool
+	others          map[string]hutSeen
+	down            map[string]bool
+	changed         chan struct{}
+	polling         bool
 
 	// proposing lets one proposal of this node run at a time.
 	proposing sync.Mutex
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -105,7 +105,7 @@
 		Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: signpost.Sec(b.RetryWindowS, 1), Keep: opt.BudgetKeep,
 	}, n.steady())
 	guide := &gather.Guide{Range: t.rng, Ledger: t.ledger, Pool: pool, Steady: n.steady, HedgeAt: opt.HedgeAt}
-	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5), Crowd: opt.Crowd, Calm: 0.7, Yield: 0.4, Waiting: int(s.Limits.FileDescriptors/8) + 16}, guide)
+	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5), Crowd: opt.Crowd}, guide)
 	if opt.Saddle {
 		t.choice = saddle.NewChoice(n.heartbeat(1))
 		t.head.SetAcross(t.choice, func(ip string, ask saddle.Ask, say *saddle.Say, within time.Duration) error {
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -39,11 +39,6 @@
 	WriteWithin time.Duration
 	// Crowd, times its slots, is how much a searcher may have to do before requests of the highest priority are refused.
 	Crowd float64
-	// Calm, times its slots, is how little a searcher must have to do for a late request to go on;
-	// Yield is the part of its time for which it waits for that at most, Waiting how many may wait.
-	Calm    float64
-	Yield   float64
-	Waiting int
 	// Hold is how long a request may wait for a node that just started.
 	Hold time.Duration
 }
@@ -60,7 +55,6 @@
 
 	// longest is the most time that a client of each route came with.
 	longest sync.Map
-	waiting atomic.Int64
 
 	choice *saddle.Choice
 	call   Caller
@@ -235,21 +229,6 @@
 	return 0
 }
 
-// yield lets a request that is late already wait while its searchers are
-// busy: those that can still be in time go first. It waits for a part of what
-// its client has left at most, and only so many wait at a time.
-func (h *Head) yield(v *visit, legs []*gather.Leg) {
-	if v.spent < v.route.Target || h.waiting.Load() >= int64(h.opt.Waiting) {
-		return
-	}
-	h.waiting.Add(1)
-	defer h.waiting.Add(-1)
-	end := v.start.Add(time.Duration(float64(v.times.Until.Sub(v.start)) * h.opt.Yield))
-	for h.crowded(legs, h.opt.Calm) && time.Now().Before(end) {
-		time.Sleep(time.Duration(float64(v.route.Target) * 0.25 * (0.5 + rand.Float64())))
-	}
-}
-
 // serve sends the request on and answers.
 func (h *Head) serve(v *visit) bool {
 	r := v.route
@@ -267,9 +246,13 @@
 	} else {
 		legs = []*gather.Leg{{Service: r.Pick(rand.Float64())}}
 	}
-	h.yield(v, legs)
-	// The lower a request's priority, the sooner it is refused.
-	if h.crowded(legs, h.opt.Crowd*(1-0.15*float64(min(r.Priority, 4)))) {
+	// The lower a request's priority, the sooner it is refused; one that is
+	// late already makes room for those that can be in time.
+	factor := h.opt.Crowd * (1 - 0.15*float64(min(r.Priority, 4)))
+	if v.spent >= r.Target {
+		factor *= h.opt.Late
+	}
+	if h.crowded(legs, factor) {
 		return h.refuse(v, 503, "all searchers are busy")
 	}
 	p := gather.NewParty(terms, legs)
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -1,10 +1,13 @@
 package traverse
 
 import (
+	"errors"
+	"io"
 	"math"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -55,6 +58,8 @@
 	// Body stands for the answer's body where another front brought it.
 	Body []byte
 	Err  error
+	// shut: a new connection ended before a byte of the answer came.
+	shut bool
 }
 
 // Records is the body of the part.
@@ -93,6 +98,11 @@
 	running, waiting int
 	loadAt           time.Time
 
+	// room is how many connections the searcher seems to take from this node
+	// since roomAt; 0: as many as it is said to.
+	room   int
+	roomAt time.Time
+
 	fails    int
 	outs     int
 	outUntil time.Time
@@ -197,7 +207,7 @@
 		if holders != nil && !contains(holders, p.ID) || has(not, p) {
 			continue
 		}
-		if limit := g.limit(t); limit > 0 && len(p.inflight) >= limit {
+		if limit := g.limit(p, t, now); limit > 0 && len(p.inflight) >= limit {
 			continue
 		}
 		if spare && g.queue(p, now) >= max(1, p.Slots) {
@@ -294,6 +304,9 @@
 			continue
 		}
 		any = true
+		if limit := g.limit(p, g.track(service), now); limit > 0 && len(p.inflight) >= limit {
+			continue
+		}
 		if float64(g.queue(p, now)) < factor*float64(max(1, p.Slots)) {
 			return false
 		}
@@ -301,11 +314,22 @@
 	return any
 }
 
-func (g *Range) limit(t *track) int {
-	if t.limit <= 0 {
-		return 0
+// limit is how many connections this node may use to a searcher: its part of
+// the limit of the service, or fewer where the searcher shut new ones lately.
+func (g *Range) limit(p *Peer, t *track, now time.Time) int {
+	n := 0
+	if t.limit > 0 {
+		n = max(1, t.limit/g.share)
 	}
-	return max(1, t.limit/g.share)
+	if p.room > 0 {
+		room := p.room + int(now.Sub(p.roomAt)/(g.opt.Forget/30))
+		if n > 0 && room >= n {
+			p.room = 0
+			return n
+		}
+		return room
+	}
+	return n
 }
 
 // Latency gives the median and the ninth decile of a service's lately measured latencies; 0 where nothing is known.
@@ -363,7 +387,8 @@
 		return Outcome{Verdict: Unsent, Err: errLate}
 	}
 	c := g.connection(p, now)
-	if c == nil {
+	fresh := c == nil
+	if fresh {
 		var err error
 		if c, err = rope.Dial(p.Addr, min(left, g.opt.DialWithin), g.opt.UserTimeout); err != nil {
 			g.drop(p, nil)
@@ -385,7 +410,7 @@
 			return Outcome{Verdict: Unsent, Err: err}
 		}
 		logbook.Log(logbook.AnswerBroken, "searcher", p.ID, "err", err)
-		return Outcome{Verdict: Unknown, Err: err}
+		return Outcome{Verdict: Unknown, Err: err, shut: fresh && ended(err)}
 	}
 	o := Outcome{Verdict: Answered, Status: out.StatusCode(), Stamp: string(out.Header.Peek(HeaderStamp)), Resp: out}
 	if o.Status == 421 || len(out.Header.Peek(HeaderNotRun)) > 0 {
@@ -400,6 +425,11 @@
 	return o
 }
 
+// ended tells whether a connection was closed or reset by the searcher.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 var errLate = errorString("no time left")
 
 type errorString string
@@ -482,6 +512,9 @@
 		// Another searcher lives there now; the list will say so soon.
 		p.outUntil = now.Add(g.opt.OutFor)
 	case o.Err == errLate:
+	case o.shut && len(p.inflight) > 1:
+		// It has too many connections: make do with fewer for a while.
+		p.room, p.roomAt = max(1, len(p.inflight)*7/10), now
 	default:
 		p.fails++
 		if p.fails >= g.opt.FailsOut {
--- a/internal/traverse/traverse_test.go
+++ b/internal/traverse/traverse_test.go
@@ -98,6 +98,19 @@
 	if q, _ := g.Choose("s", []string{"b"}, nil, target, true); q != nil {
 		t.Fatal("a full searcher was chosen as company for a straggler")
 	}
+	// A searcher that shuts new connections gets fewer, and more again later.
+	g.SetLimit("s", 40)
+	b.loadAt, b.fails, b.outUntil = time.Time{}, 0, time.Time{}
+	for len(b.inflight) < 8 {
+		b.inflight = append(b.inflight, time.Now())
+	}
+	g.learn(b, &Outcome{Verdict: Unknown, shut: true}, b.inflight[0])
+	if n := g.limit(b, g.track("s"), time.Now()); n != 4 || b.fails != 0 {
+		t.Fatalf("room for %d connections, %d failures", n, b.fails)
+	}
+	if n := g.limit(b, g.track("s"), time.Now().Add(10*time.Second)); n != 10 {
+		t.Fatalf("room for %d connections later", n)
+	}
 	var full []string
 	g.Full = func(id string) { full = append(full, id) }
 	for i := 0; i < 2; i++ {
