Where another front fails, its shards' only searchers are tried directly

Found by the new end-to-end test of the way across: with a single searcher left for a shard, a failed call to the other front left nobody to try, and the answer was 502. Tests: legs by way of another front as traces, and fronts in two zones on loopback.

--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -37,6 +37,7 @@
 	switch kind {
 	case "ok":
 		o.Status = 200
+		o.Resp.SetBody([]byte("own records"))
 	case "nostamp":
 		o.Status, o.Stamp = 200, ""
 	case "500", "404":
@@ -70,6 +71,30 @@
 		(*p).Launched(leg(f[1]), &traverse.Peer{})
 	case "nobody":
 		(*p).Launched(leg(f[1]), nil)
+	case "group": // group LEGS STAMPS AGAIN ok|bad: "-" stands for a part that is not in
+		var legs []int
+		var stamps []string
+		for _, x := range strings.Split(f[1], ",") {
+			legs = append(legs, leg(x))
+		}
+		for _, x := range strings.Split(f[2], ",") {
+			stamps = append(stamps, strings.TrimPrefix(x, "-"))
+		}
+		again, ok := (*p).HearGroup(legs, stamps, []byte("records"))
+		got := strings.Trim(strings.ReplaceAll(fmt.Sprint(again), " ", ","), "[]")
+		if got != strings.TrimPrefix(f[3], "-") || ok != (f[4] == "ok") {
+			return fmt.Errorf("again %q, ok %v", got, ok)
+		}
+	case "bodies": // bodies N: how many parts bring records
+		n := 0
+		for _, l := range (*p).Legs {
+			if l.Done && len(l.Good.Records()) > 0 {
+				n++
+			}
+		}
+		if n != leg(f[1]) {
+			return fmt.Errorf("%d bodies", n)
+		}
 	case "gaveup":
 		(*p).GaveUp(leg(f[1]))
 	case "hear": // hear LEG OUTCOME again|wait
--- a/internal/gather/party.go
+++ b/internal/gather/party.go
@@ -21,9 +21,11 @@
 	Holders []string
 
 	Tried []*traverse.Peer
-	Out   int
-	Done  bool
-	Dead  bool
+	// Lent: the first try went by way of another front; whom that asked is not known.
+	Lent bool
+	Out  int
+	Done bool
+	Dead bool
 	// Sent tells whether a try of it may have reached a searcher.
 	Sent bool
 	// MayHaveRun tells whether a try may have run without a usable answer.
--- a/internal/gather/run.go
+++ b/internal/gather/run.go
@@ -157,6 +157,10 @@
 func (g *Guide) again(p *Party, i int, spare bool, r *traverse.Request, t Times, results chan heard) {
 	l := p.Legs[i]
 	peer, start := g.Range.Choose(l.Service, l.Holders, l.Tried, t.Target, spare)
+	if peer == nil && l.Lent {
+		// Perhaps it was the other front that failed, not the searcher.
+		peer, start = g.Range.Choose(l.Service, l.Holders, nil, t.Target, spare)
+	}
 	if peer == nil {
 		p.GaveUp(i)
 		return
@@ -209,6 +213,7 @@
 					if peer := g.Range.In(l.Service, l.Holders, most); peer != nil {
 						g.Range.Unchoose(f.peer, f.start)
 						p.Launched(f.leg, peer)
+						l.Lent = true
 						group = append(group, f.leg)
 					} else {
 						rest = append(rest, f)
--- a/internal/lodge/lodge_test.go
+++ b/internal/lodge/lodge_test.go
@@ -326,3 +326,47 @@
 		return st == 200 && (body == config(5, "s1", "s2") || body == config(6, "s1", "s2"))
 	})
 }
+
+// Shards without a searcher near front 11 are gathered by front 12, where they are.
+func TestAcross(t *testing.T) {
+	w, s := start(t)
+	for _, id := range []string{"f1-far", "f2-far", "f3-far"} {
+		s[id] = w.searcher(strings.Split(id, "-")[0], id)
+	}
+	if st, body := w.control(1, "PUT", "3", config(5, "s1", "f1", "f2", "f3")); st != 200 {
+		t.Fatalf("%d %s", st, body)
+	}
+	want := top(7, "s1", "f1", "f2", "f3")
+	lent := func() int64 { return w.nodes["12"].trail.head.Lent() }
+	w.eventually("the other front helps", func() bool {
+		r, body, _ := w.ask(11, "GET", "/g/x?y=%2F", "")
+		return r.StatusCode == 200 && bytes.Equal(body, want) && lent() > 0
+	})
+	before := lent()
+	for i := 0; i < 20; i++ {
+		r, body, id := w.ask(11, "GET", "/g/x", "")
+		stamps := strings.Split(r.Header.Get("Swiftswitch-Part-Stamps"), ", ")
+		if r.StatusCode != 200 || !bytes.Equal(body, want) || len(stamps) != 4 || strings.Count(strings.Join(stamps, " "), id) != 4 {
+			t.Fatalf("%d %v", r.StatusCode, r.Header)
+		}
+	}
+	if lent()-before < 15 {
+		t.Fatalf("the other front helped with %d of 20", lent()-before)
+	}
+	// One of the far searchers fails: its part is missing, or tried again, and nothing is mixed.
+	s["f2-far"].set("500")
+	for i := 0; i < 8; i++ {
+		r, body, _ := w.ask(11, "GET", "/g/x", "")
+		if r.StatusCode != 200 || r.Header.Get("Swiftswitch-Missing-Parts") != "1" || !bytes.Equal(body, top(7, "s1", "f1", "f3")) {
+			t.Fatalf("with one part failing: %d %v", r.StatusCode, r.Header)
+		}
+	}
+	s["f2-far"].set("")
+	// Without the other front the searchers are reached directly.
+	w.stop("12")
+	for i := 0; i < 8; i++ {
+		if r, body, _ := w.ask(11, "GET", "/g/x", ""); r.StatusCode != 200 || !bytes.Equal(body, want) {
+			t.Fatalf("without the other front: %d %v", r.StatusCode, r.Header)
+		}
+	}
+}
--- a/internal/lodge/standin_test.go
+++ b/internal/lodge/standin_test.go
@@ -20,6 +20,7 @@
 // searcher stands in for one searcher.
 type searcher struct {
 	id, service string
+	zone        string
 	srv         *httptest.Server
 	mu          sync.Mutex
 	runs        []string
@@ -139,7 +140,7 @@
 	var out []map[string]any
 	for i := from; i < len(ids) && i < from+3; i++ {
 		s := w.list[ids[i]]
-		out = append(out, map[string]any{"InstanceId": s.id, "Service": s.service, "Address": s.srv.Listener.Addr().String(), "Zone": "z1", "Slots": 2, "State": w.state[s.id], "ColdRemainingMs": 0, "Version": "v1"})
+		out = append(out, map[string]any{"InstanceId": s.id, "Service": s.service, "Address": s.srv.Listener.Addr().String(), "Zone": s.zone, "Slots": 2, "State": w.state[s.id], "ColdRemainingMs": 0, "Version": "v1"})
 	}
 	if from+3 < len(ids) {
 		page["NextPageToken"] = fmt.Sprintf("p-%d", from+3)
@@ -149,7 +150,10 @@
 }
 
 func (w *town) searcher(service, id string) *searcher {
-	s := &searcher{id: id, service: service}
+	s := &searcher{id: id, service: service, zone: "z1"}
+	if strings.HasSuffix(id, "-far") {
+		s.zone = "z2"
+	}
 	s.srv = httptest.NewServer(s)
 	w.mu.Lock()
 	w.list[id], w.state[id] = s, "ready"
@@ -172,14 +176,18 @@
 		}
 		data = w.dirs[name]
 	}
+	zone := "z1"
+	if n == 12 {
+		zone = "z2"
+	}
 	var l []string
 	for _, s := range seeds {
 		l = append(l, fmt.Sprintf("%q", w.ip(s)+":8090"))
 	}
-	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: z1, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: 300,
+	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: %s, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: 300,
  ListenAddresses: {%s},
  Bounds: {InTouchMs: 1000, AcknowledgeMs: 2500, CatchUpS: 1, DrainMs: 800, GraceS: 1, ConfigEffectMs: 1000, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100}, CloudApi: {Address: %q}}`,
-		n, w.ip(n), serves, w.port, w.port+10, strings.Join(l, ","), first, data, strings.ReplaceAll(listen, "\n", ","), w.platform.Listener.Addr().String())
+		n, w.ip(n), zone, serves, w.port, w.port+10, strings.Join(l, ","), first, data, strings.ReplaceAll(listen, "\n", ","), w.platform.Listener.Addr().String())
 	s, err := signpost.ParseSettings([]byte(text))
 	if err != nil {
 		w.t.Fatalf("settings: %v\n%s", err, text)
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -412,11 +412,13 @@
 	Searchers int
 	Fronts    int
 	Busy      int64
-	Slots     map[string][]string
+	// Helped counts the requests in which this front gathered for another.
+	Helped int64
+	Slots  map[string][]string
 }
 
 func (t *trail) status() *TrailStatus {
-	st := &TrailStatus{Ready: t.ready.Load(), Busy: t.head.Busy(), Slots: map[string][]string{}}
+	st := &TrailStatus{Ready: t.ready.Load(), Busy: t.head.Busy(), Helped: t.head.Lent(), Slots: map[string][]string{}}
 	t.desk.ask(func() {
 		st.Slot, st.LastBuilt, st.Current, st.Fronts = t.slot, t.board.LastBuilt, t.board.Current.Version, t.nodes
 		if t.board.Next != nil {
--- a/internal/trailhead/across.go
+++ b/internal/trailhead/across.go
@@ -86,6 +86,7 @@
 		legs = append(legs, &gather.Leg{Service: route.Gathered[i], Holders: holders})
 	}
 	h.busy.Add(1)
+	h.lent.Add(1)
 	defer h.busy.Add(-1)
 	left := time.Duration(a.LeftMs) * time.Millisecond
 	wait := min(left, time.Duration(a.WaitMs)*time.Millisecond)
@@ -103,3 +104,6 @@
 	say.Records = gather.Merge(bodies, route.Top)
 	return say, true
 }
+
+// Lent counts the requests in which this front helped another.
+func (h *Head) Lent() int64 { return h.lent.Load() }
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -55,6 +55,7 @@
 
 	// longest is the most time that a client of each route came with.
 	longest sync.Map
+	lent    atomic.Int64
 
 	choice *saddle.Choice
 	call   Caller
