Shorter calls across; the list is read more often while searchers are silent

Cause: after all searchers of a shard had crashed, the new ones stood on the list for up to 0.75 s before it was read; and the calls across repeated what their head says. Fronts now tell huts how many listed searchers are silent for them, and the duty reads each 0.08 x DrainMs meanwhile.

--- a/internal/lodge/duty.go
+++ b/internal/lodge/duty.go
@@ -15,8 +15,9 @@
 // dutyLoop reads the platform's list while this node has the duty.
 func (h *hut) dutyLoop() {
 	for {
-		var mine, taken bool
+		var mine, taken, silence bool
 		h.desk.ask(func() {
+			silence = h.silence()
 			if h.n.leaving.Load() {
 				return
 			}
@@ -36,7 +37,11 @@
 		}
 		wait := h.n.heartbeat(0.2)
 		if mine {
+			// While fronts miss searchers, new ones are looked for more often.
 			wait = signpost.Ms(h.n.set().Bounds.DrainMs, 0.25)
+			if silence {
+				wait = signpost.Ms(h.n.set().Bounds.DrainMs, 0.08)
+			}
 			h.poll()
 		}
 		select {
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -54,6 +54,8 @@
 	zone string
 	// ready: other fronts may ask it.
 	ready bool
+	// out is how many searchers have fallen silent for it.
+	out int
 }
 
 type hutSeen struct {
@@ -394,7 +396,7 @@
 		news := false
 		h.desk.ask(func() {
 			now := h.n.steady()
-			h.fronts[m.Name] = frontSeen{now, m.Slot, m.IP, m.Zone, m.Ready}
+			h.fronts[m.Name] = frontSeen{now, m.Slot, m.IP, m.Zone, m.Ready, m.Out}
 			say = watchSay{Zone: h.n.set().Zone, Slot: h.acc.State.Slot, Fronts: h.countFronts(now)}
 			for _, v := range h.acc.State.Voters {
 				say.Huts = append(say.Huts, v.IP)
@@ -438,6 +440,17 @@
 	return out
 }
 
+// silence tells whether fronts heard lately miss searchers; it runs on the desk.
+func (h *hut) silence() bool {
+	now := h.n.steady()
+	for _, f := range h.fronts {
+		if f.out > 0 && now-f.at < h.n.heartbeat(2.5) {
+			return true
+		}
+	}
+	return false
+}
+
 // countFronts counts the fronts heard within the window of the retry budget.
 // A hut that just started goes by what it counted in its life before: after a
 // loss of everything the fronts must not think that each of them is alone. It
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -77,6 +77,8 @@
 	// Zone and Ready: other fronts may ask this one to gather for them.
 	Zone  string `json:",omitempty"`
 	Ready bool   `json:",omitempty"`
+	// Out is how many listed searchers have fallen silent for this front.
+	Out int `json:",omitempty"`
 	// Brief: the table itself is not wanted, only word of it.
 	Brief bool `json:",omitempty"`
 }
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -161,7 +161,7 @@
 			return
 		default:
 		}
-		ask := watchAsk{Name: n.set().NodeName, IP: n.set().IpAddress, Slot: t.heldSlot.Load(), Stamp: *t.stamp.Load(), Brief: brief, Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load()}
+		ask := watchAsk{Name: n.set().NodeName, IP: n.set().IpAddress, Slot: t.heldSlot.Load(), Stamp: *t.stamp.Load(), Brief: brief, Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out()}
 		var say watchSay
 		err := n.call.Ask(n.set().RopeAddr(ip), pathWatch, ask, &say, n.heartbeat(1.8))
 		if err != nil {
--- a/internal/saddle/saddle.go
+++ b/internal/saddle/saddle.go
@@ -8,25 +8,21 @@
 
 // Ask names shards of a gathered route by their places in its list. Both
 // sides hold the same version, so the route is found by the request itself.
+// The names on the wire are short: these calls are what crosses most.
 type Ask struct {
-	Version int64
-	Shards  []int
-	Head    string
-	Method  string
-	Target  string
-	Host    string
-	ID      string
+	Version int64  `json:"V"`
+	Shards  []int  `json:"S"`
+	Head    string `json:"H"`
 	// LeftMs is what the client has left, WaitMs when the answer must be on its way.
-	LeftMs int64
-	WaitMs int64
+	LeftMs int64 `json:"L"`
+	WaitMs int64 `json:"W"`
 }
 
-// Say holds the stamps of the parts that are in, by place, and the greatest
-// records of all of them.
+// Say holds the stamps of the parts in the order asked for, empty where one
+// is not in, and the greatest records of all that are.
 type Say struct {
-	Shards  []int
-	Stamps  []string
-	Records []byte
+	Stamps  []string `json:"S"`
+	Records []byte   `json:"R"`
 }
 
 // Front is one front that may be asked.
--- a/internal/trailhead/across.go
+++ b/internal/trailhead/across.go
@@ -39,24 +39,15 @@
 	return func(legs []int, wait time.Duration) ([]string, []byte) {
 		left := time.Until(until)
 		ask := saddle.Ask{
-			Version: version, Shards: legs, Head: req.Head(), Method: req.Method, Target: req.Target, Host: req.Host, ID: req.ID,
-			LeftMs: left.Milliseconds(), WaitMs: wait.Milliseconds(),
+			Version: version, Shards: legs, Head: req.Head(), LeftMs: left.Milliseconds(), WaitMs: wait.Milliseconds(),
 		}
 		var say saddle.Say
 		err := c.h.call(front.IP, ask, &say, min(left, 3*wait))
 		c.h.choice.Done(front, err == nil, time.Now())
-		stamps := make([]string, len(legs))
-		if err != nil || len(say.Shards) != len(say.Stamps) || len(say.Records)%gather.RecordSize != 0 {
-			return stamps, nil
+		if err != nil || len(say.Stamps) != len(legs) || len(say.Records)%gather.RecordSize != 0 {
+			return make([]string, len(legs)), nil
 		}
-		for k, i := range legs {
-			for j, s := range say.Shards {
-				if s == i {
-					stamps[k] = say.Stamps[j]
-				}
-			}
-		}
-		return stamps, say.Records
+		return say.Stamps, say.Records
 	}, true
 }
 
@@ -69,8 +60,11 @@
 	if snap == nil || h.leave.Load() || snap.Map.Version != a.Version || a.LeftMs <= 0 || len(a.Shards) == 0 {
 		return saddle.Say{}, false
 	}
-	req := traverse.Lent(a.Head, a.Method, a.Target, a.Host, a.ID, a.LeftMs)
-	route := snap.Map.Match(a.Host, pathOf(a.Target))
+	req, ok := traverse.Lent(a.Head, a.LeftMs)
+	if !ok {
+		return saddle.Say{}, false
+	}
+	route := snap.Map.Match(req.Host, pathOf(req.Target))
 	if route == nil {
 		return saddle.Say{}, false
 	}
@@ -93,11 +87,11 @@
 	p := gather.NewParty(gather.Terms{Attempts: 1, Safe: true}, legs)
 	defer p.Release()
 	h.guide.Run(p, req, gather.Times{Start: start, Target: route.Target, Soft: start.Add(wait), Hard: start.Add(wait), Until: start.Add(left), Lent: true}, nil)
-	var say saddle.Say
+	say := saddle.Say{Stamps: make([]string, len(legs))}
 	var bodies [][]byte
 	for k, l := range legs {
 		if l.Done {
-			say.Shards, say.Stamps = append(say.Shards, a.Shards[k]), append(say.Stamps, l.Good.Stamp)
+			say.Stamps[k] = l.Good.Stamp
 			bodies = append(bodies, l.Good.Records())
 		}
 	}
--- a/internal/traverse/request.go
+++ b/internal/traverse/request.go
@@ -153,9 +153,25 @@
 // Plain tells whether the request has no body.
 func (r *Request) Plain() bool { return len(r.body) == 0 && r.Method == "GET" }
 
-// Lent is a request that another front has checked and passed on.
-func Lent(head, method, target, host, id string, leftMs int64) *Request {
-	return &Request{ID: id, Host: host, Method: method, Target: target, DeadlineMs: float64(leftMs), head: []byte(head)}
+// Lent is a request that another front has checked and passed on by its head.
+func Lent(head string, leftMs int64) (*Request, bool) {
+	r := &Request{DeadlineMs: float64(leftMs), head: []byte(head)}
+	lines := strings.Split(head, "\r\n")
+	first := strings.Split(lines[0], " ")
+	if len(first) != 3 || lines[len(lines)-1] != "" {
+		return nil, false
+	}
+	r.Method, r.Target = first[0], first[1]
+	for _, l := range lines[1:] {
+		name, value, _ := strings.Cut(l, ": ")
+		switch strings.ToLower(name) {
+		case "host":
+			r.Host = value
+		case "swiftswitch-request-id":
+			r.ID = value
+		}
+	}
+	return r, r.Host != "" && r.ID != ""
 }
 
 // bytesFor is the request as one searcher gets it.
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -142,6 +142,19 @@
 // SetShare says how many front nodes share each searcher's connections.
 func (g *Range) SetShare(n int) { g.mu.Lock(); g.share = max(1, n); g.mu.Unlock() }
 
+// Out counts the searchers that are listed and have fallen silent.
+func (g *Range) Out() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, p := range g.peers {
+		if p.silent {
+			n++
+		}
+	}
+	return n
+}
+
 // SetLimit says how many connections each searcher of a service takes.
 func (g *Range) SetLimit(service string, limit int) {
 	g.mu.Lock()
