--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -48,10 +48,12 @@
 }
 
 type frontSeen struct {
-	at   time.Duration
-	slot int64
-	ip   string
-	zone string
+	at time.Duration
+	// until is when it must have been heard again.
+	until time.Duration
+	slot  int64
+	ip    string
+	zone  string
 	// ready: other fronts may ask it.
 	ready bool
 	// out is how many searchers have fallen silent for it.
@@ -371,8 +373,19 @@
 func (h *hut) beatAll() {
 	var out []string
 	var b beat
-	h.desk.ask(func() { out, b = h.peers(), h.beat() })
-	if len(out) == 0 {
+	known := 0
+	h.desk.ask(func() {
+		b = h.beat()
+		for _, ip := range h.peers() {
+			// A beat's answer is one as well: of two that hear each other, one sends.
+			if o, ok := h.others[ip]; ok && ip < b.IP && h.n.steady()-o.at < h.n.heartbeat(0.6) && !b.Leaving {
+				known++
+				continue
+			}
+			out = append(out, ip)
+		}
+	})
+	if len(out)+known == 0 {
 		out = slices.DeleteFunc(h.n.huts(), func(ip string) bool { return ip == h.n.set().IpAddress })
 	}
 	for _, ip := range out {
@@ -388,7 +401,8 @@
 
 // handleWatch waits for news that the asker lacks, at most for a heartbeat.
 func (h *hut) handleWatch(m watchAsk) watchSay {
-	until := time.NewTimer(h.n.heartbeat(1))
+	hold := max(h.n.heartbeat(0.2), min(h.n.heartbeat(3), time.Duration(m.HoldMs)*time.Millisecond))
+	until := time.NewTimer(hold)
 	defer until.Stop()
 	for late := false; ; {
 		var say watchSay
@@ -396,7 +410,7 @@
 		news := false
 		h.desk.ask(func() {
 			now := h.n.steady()
-			h.fronts[m.Name] = frontSeen{now, m.Slot, m.IP, m.Zone, m.Ready, m.Out}
+			h.fronts[m.Name] = frontSeen{now, now + hold + h.n.heartbeat(1), m.Slot, m.IP, m.Zone, m.Ready, m.Out}
 			say = watchSay{Zone: h.n.set().Zone, Slot: h.acc.State.Slot, Fronts: h.countFronts(now)}
 			for _, v := range h.acc.State.Voters {
 				say.Huts = append(say.Huts, v.IP)
@@ -433,7 +447,7 @@
 func (h *hut) roster(now time.Duration) []saddle.Front {
 	var out []saddle.Front
 	for name, f := range h.fronts {
-		if f.ready && now-f.at < h.n.heartbeat(2.5) {
+		if f.ready && now < f.until {
 			out = append(out, saddle.Front{Name: name, IP: f.ip, Zone: f.zone})
 		}
 	}
@@ -444,7 +458,7 @@
 func (h *hut) silence() bool {
 	now := h.n.steady()
 	for _, f := range h.fronts {
-		if f.out > 0 && now-f.at < h.n.heartbeat(2.5) {
+		if f.out > 0 && now < f.until {
 			return true
 		}
 	}
@@ -481,7 +495,7 @@
 		h.desk.ask(func() {
 			now := h.n.steady()
 			for _, f := range h.fronts {
-				if f.slot < slot && now-f.at < h.n.heartbeat(2) {
+				if f.slot < slot && now < f.until {
 					missing = true
 				}
 			}
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -79,6 +79,8 @@
 	Ready bool   `json:",omitempty"`
 	// Out is how many listed searchers have fallen silent for this front.
 	Out int `json:",omitempty"`
+	// HoldMs is how long the front lets the hut hold the call.
+	HoldMs int64
 	// Brief: the table itself is not wanted, only word of it.
 	Brief bool `json:",omitempty"`
 }
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -155,17 +155,19 @@
 	n := t.n
 	brief := false
 	fails := 0
+	hold := n.heartbeat(1)
 	for {
 		select {
 		case <-n.stop:
 			return
 		default:
 		}
-		ask := watchAsk{Name: n.set().NodeName, IP: n.set().IpAddress, Slot: t.heldSlot.Load(), Stamp: *t.stamp.Load(), Brief: brief, Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out()}
+		ask := watchAsk{Name: n.set().NodeName, IP: n.set().IpAddress, Slot: t.heldSlot.Load(), Stamp: *t.stamp.Load(), Brief: brief, Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out(), HoldMs: hold.Milliseconds()}
 		var say watchSay
-		err := n.call.Ask(n.set().RopeAddr(ip), pathWatch, ask, &say, n.heartbeat(1.8))
+		err := n.call.Ask(n.set().RopeAddr(ip), pathWatch, ask, &say, hold+n.heartbeat(0.8))
 		if err != nil {
 			fails++
+			hold = n.heartbeat(1)
 			keep := true
 			t.desk.ask(func() {
 				delete(t.counts, ip)
@@ -194,6 +196,10 @@
 			time.Sleep(n.heartbeat(0.05))
 		}
 		brief = !near && !behind()
+		// A hut in another zone is asked for news only: it may hold the call for longer.
+		if hold = n.heartbeat(1); !near {
+			hold = n.heartbeat(3)
+		}
 		for i := 0; late() && i < 20; i++ {
 			t.fetch(ip)
 			if late() {
