--- /dev/null
+++ b/internal/cellar/cellar_test.go
@@ -0,0 +1,57 @@
+package cellar
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"swiftswitch/internal/logbook"
+)
+
+func put(t *testing.T, c *Cellar, name, value string) error {
+	t.Helper()
+	done := make(chan error, 1)
+	c.Put(name, []byte(value), func(err error) { done <- err })
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(5 * time.Second):
+		return errors.New("no word of the write")
+	}
+}
+
+// A store that can't go on answers so, comes back by itself and has forgotten nothing.
+func TestBrokenStoreComesBack(t *testing.T) {
+	logbook.SetOutput(io.Discard)
+	dir := t.TempDir()
+	c, err := Open(dir, time.Second, 20*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := put(t, c, "a", "1"); err != nil {
+		t.Fatal(err)
+	}
+	quiet{c}.Fatalf("the disk refuses writes")
+	if err := put(t, c, "b", "2"); err == nil {
+		t.Fatal("a write to a broken store was called good")
+	}
+	for end := time.Now().Add(5 * time.Second); ; {
+		if err := put(t, c, "c", "3"); err == nil {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("the store does not come back:", err)
+		}
+	}
+	c.Close(time.Second)
+	c, err = Open(dir, time.Second, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close(time.Second)
+	for name, want := range map[string]string{"a": "1", "b": "2", "c": "3", "d": ""} {
+		if got, err := c.Get(name); err != nil || string(got) != want {
+			t.Errorf("%s is %q, %v", name, got, err)
+		}
+	}
+}
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -184,10 +184,11 @@
 		seen[s.ID] = true
 		p := g.peers[s.ID]
 		if p == nil {
-			p = &Peer{}
+			p = &Peer{Searcher: s, near: s.Zone == g.opt.Zone}
 			g.peers[s.ID] = p
 		}
-		p.Searcher, p.near = s, s.Zone == g.opt.Zone
+		// The rest never changes in one life, and is read without the lock.
+		p.Slots, p.Cold = s.Slots, s.Cold
 		services[s.Service] = append(services[s.Service], p)
 	}
 	for id, p := range g.peers {
