The operator's limits in time hold from the version in force

Found by reading: since the listener opens before the first configuration, idle connections were closed after a default of 12 s while answers promised the operator's 15 s less one. Connections now ask for the present limits each time; the test cuts off half a header and an idle connection.

--- a/internal/lodge/lodge_test.go
+++ b/internal/lodge/lodge_test.go
@@ -112,6 +112,24 @@
 	if n := s["plain-a"].ran() + s["plain-b"].ran(); n != before {
 		t.Fatalf("%d doubtful requests ran", n-before)
 	}
+	// The operator's limits in time: half a header is cut off, an idle connection later.
+	for raw, within := range map[string][2]time.Duration{
+		"GET /p/x HTTP/1.1\r\nHost: a.ex":                                              {800 * time.Millisecond, 2 * time.Second},
+		"GET /none/ HTTP/1.1\r\nHost: a.example\r\nSwiftswitch-Request-Id: q9\r\n\r\n": {2500 * time.Millisecond, 5 * time.Second},
+	} {
+		c, err := net.Dial("tcp", w.ip(11)+":8080")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(8 * time.Second))
+		fmt.Fprint(c, raw)
+		at := time.Now()
+		_, err = io.Copy(io.Discard, c)
+		c.Close()
+		if took := time.Since(at); err != nil || took < within[0] || took > within[1] {
+			t.Errorf("%q was cut off after %v: %v", raw, took, err)
+		}
+	}
 }
 
 func TestSearchersInTrouble(t *testing.T) {
--- a/internal/lodge/standin_test.go
+++ b/internal/lodge/standin_test.go
@@ -254,7 +254,7 @@
 {"Name":"g","HostName":"a.example","PathPrefix":"/g/","RouteKind":"safe","TimeoutMs":2000,"TargetLatencyMs":300,"GatheredServices":[%s],"Attempts":2,"TopRecords":7,"MinimumShare":0.5},
 {"Name":"p","HostName":"a.example","PathPrefix":"/p/","RouteKind":"safe","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"plain","Attempts":2},
 {"Name":"u","HostName":"a.example","PathPrefix":"/u/","RouteKind":"unsafe","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"plain","Attempts":3}],
-"Services":[%s],"Limits":{"HeaderSizeBytes":4096,"BodySizeBytes":1000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":5000}}`,
+"Services":[%s],"Limits":{"HeaderSizeBytes":4096,"BodySizeBytes":1000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":3000}}`,
 		version, strings.Join(names, ","), strings.Join(services, ","))
 }
 
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -350,7 +350,13 @@
 // a table, requests wait at its head.
 func (t *trail) open() {
 	lis := t.n.listener(t.def.Idle)
-	lis.MaxHeader, lis.ReadWithin = t.n.maxMessage()/16, t.def.HeaderTimeout
+	lis.MaxHeader = t.n.maxMessage() / 16
+	lis.Limits = func() (time.Duration, time.Duration) {
+		if s := t.head.Current(); s != nil {
+			return s.Map.Limits.HeaderTimeout, s.Map.Limits.Idle
+		}
+		return t.def.HeaderTimeout, t.def.Idle
+	}
 	go func() {
 		ln, ok := rope.Listen(t.n.set().ListenAddresses.FrontAddress, t.n.userTimeout(), t.n.heartbeat(0.1), t.n.stop)
 		if !ok {
--- a/internal/rope/server.go
+++ b/internal/rope/server.go
@@ -25,6 +25,44 @@
 	ReadWithin  time.Duration
 	IdleFor     time.Duration
 	UserTimeout time.Duration
+	// Limits, where set, are asked each time in place of ReadWithin and IdleFor.
+	Limits func() (read, idle time.Duration)
+}
+
+// hertz takes its times once, at the start. Where they may change it is given
+// these, and the connection puts the present limits in their place.
+const (
+	markRead = 24 * time.Hour
+	markIdle = 48 * time.Hour
+)
+
+type limited struct {
+	net.Listener
+	limits func() (read, idle time.Duration)
+}
+
+func (l limited) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &limitedConn{c, l.limits}, nil
+}
+
+type limitedConn struct {
+	net.Conn
+	limits func() (read, idle time.Duration)
+}
+
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	if left := time.Until(t); left > markRead/2 {
+		read, idle := c.limits()
+		if left > (markRead+markIdle)/2 {
+			read = idle
+		}
+		t = time.Now().Add(read)
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Listen opens the listening socket, trying again while the address is taken
@@ -48,6 +86,10 @@
 // Serve starts a server on ln whose every request goes to handle: paths are
 // not normalised, nothing is added to answers, no body is touched.
 func Serve(ln net.Listener, l Listener, handle app.HandlerFunc) *server.Hertz {
+	if l.Limits != nil {
+		ln = limited{ln, l.Limits}
+		l.ReadWithin, l.IdleFor = markRead, markIdle
+	}
 	h := server.New(
 		server.WithListener(ln),
 		server.WithTransport(standard.NewTransporter),
@@ -79,6 +121,9 @@
 }
 
 func setUserTimeout(c net.Conn, d time.Duration) {
+	if l, ok := c.(*limitedConn); ok {
+		c = l.Conn
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return
