--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -95,6 +95,10 @@
 		if n != leg(f[1]) {
 			return fmt.Errorf("%d bodies", n)
 		}
+	case "passes": // passes LEG yes|no
+		if got := (*p).Legs[leg(f[1])].Passes(); got != (f[2] == "yes") {
+			return fmt.Errorf("passes: %v", got)
+		}
 	case "gaveup":
 		(*p).GaveUp(leg(f[1]))
 	case "hear": // hear LEG OUTCOME again|wait
--- a/internal/gather/party.go
+++ b/internal/gather/party.go
@@ -35,6 +35,12 @@
 	Last traverse.Outcome
 }
 
+// Passes tells whether the last answer may be given back as it is: nothing is
+// under way, and no promise that nothing ran is made where something may have.
+func (l *Leg) Passes() bool {
+	return l.Last.Resp != nil && l.Out == 0 && !(l.MayHaveRun && l.Last.Verdict == traverse.NotRun)
+}
+
 // Step is what to do next for a leg.
 type Step int
 
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -264,7 +264,7 @@
 		h.answerGathered(v, p)
 	case ok:
 		h.pass(v, &p.Legs[0].Good)
-	case len(r.Gathered) == 0 && p.Legs[0].Last.Resp != nil && p.Legs[0].Out == 0:
+	case len(r.Gathered) == 0 && p.Legs[0].Passes():
 		h.pass(v, &p.Legs[0].Last)
 	case !p.Ran():
 		h.refuse(v, 503, "no searcher can take this now")
