--- a/internal/gather/run.go
+++ b/internal/gather/run.go
@@ -54,13 +54,18 @@
 	n := len(p.Legs)
 	results := make(chan heard, n*p.Terms.Attempts)
 	hedge := make([]time.Time, n)
+	at := g.HedgeAt
+	if n == 1 {
+		// The slowest of many is late far sooner than one alone.
+		at += aloneSlack
+	}
 	var far []farLeg
 	for i, l := range p.Legs {
 		if !t.Lent {
 			g.Ledger.Ask(l.Service, g.Steady())
 		}
 		_, p90 := g.Range.Latency(l.Service)
-		hedge[i] = t.Start.Add(max(p90, time.Duration(g.HedgeAt*float64(t.Target))))
+		hedge[i] = t.Start.Add(max(p90, time.Duration(at*float64(t.Target))))
 		peer, start := g.Range.Choose(l.Service, l.Holders, nil, t.Target, false)
 		switch {
 		case peer == nil:
@@ -184,6 +189,8 @@
 const (
 	crossWait  = 0.45
 	crossSlack = 0.15
+	// aloneSlack, a part of the target, is how much later the only leg of a request gets company.
+	aloneSlack = 0.15
 )
 
 // cross sends the legs without a searcher in this zone: as many as possible
