Far searchers must be quicker by 0.3 of the target

Cause: bytes between regions are still the largest price that can move; a far searcher was taken for a small advantage.

--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -52,7 +52,7 @@
 
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Slots: 2, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.15, Crowd: 2, Saddle: true}
+	return Options{Slots: 2, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
 }
 
 // trail is the part of a node that serves clients. Its tables belong to one desk.
