--- a/internal/lodge/lodge_test.go
+++ b/internal/lodge/lodge_test.go
@@ -388,3 +388,59 @@
 		}
 	}
 }
+
+func TestReloadAndDrain(t *testing.T) {
+	w, s := start(t)
+	n := w.nodes["11"]
+	// A changed settings file is taken, a bad one is not.
+	n.path = t.TempDir() + "/boot.yaml"
+	file := func(seed string) string {
+		return fmt.Sprintf("{NodeName: node, IpAddress: %q, Zone: z1, Serves: [], InternalPortRange: [%d, %d], SeedNodes: [%q], HeartbeatIntervalMs: 300, Bounds: {InTouchMs: 1000, AcknowledgeMs: 2500, CatchUpS: 1, DrainMs: 800, GraceS: 2, ConfigEffectMs: 1000, RetryWindowS: 2}}",
+			w.ip(11), w.port, w.port+10, seed)
+	}
+	for _, c := range []struct{ text, want string }{
+		{file("10.9.9.9:1"), "10.9.9.9:1"},
+		{file("nowhere"), "10.9.9.9:1"},
+		{"{", "10.9.9.9:1"},
+		{strings.Replace(file("10.9.9.8:1"), w.ip(11), "10.1.1.1", 1), "10.9.9.9:1"},
+		{file("10.9.9.7:1"), "10.9.9.7:1"},
+	} {
+		if err := os.WriteFile(n.path, []byte(c.text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		n.reload()
+		if got := n.set().SeedNodes[0]; got != c.want {
+			t.Fatalf("after %s the seed is %s", c.text, got)
+		}
+	}
+	// What is under way ends well, within GraceS; new connections are sent elsewhere.
+	s["plain-a"].set("slow")
+	s["plain-b"].set("slow")
+	type end struct {
+		status int
+		last   bool
+	}
+	got := make(chan end)
+	go func() {
+		r, _, _ := w.ask(11, "GET", "/p/x", "")
+		got <- end{r.StatusCode, r.Close}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	delete(w.nodes, "11")
+	begun := time.Now()
+	done := make(chan time.Duration)
+	go func() { n.drain(); done <- time.Since(begun) }()
+	time.Sleep(100 * time.Millisecond)
+	if w.ready(11) {
+		t.Fatal("a leaving front calls itself ready")
+	}
+	if e := <-got; e.status != 200 || !e.last {
+		t.Fatalf("a request under way ended with %+v", e)
+	}
+	if took := <-done; took > 2*time.Second {
+		t.Fatalf("leaving took %v", took)
+	}
+	if _, err := net.DialTimeout("tcp", w.ip(11)+":8080", time.Second); err == nil {
+		t.Fatal("a front that left still listens")
+	}
+}
