--- a/internal/cairn/trace_test.go
+++ b/internal/cairn/trace_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
+
+	"swiftswitch/internal/diary"
 )
 
 // world holds acceptors and proposers; a trace says which message arrives when.
@@ -29,8 +29,7 @@
 	return w
 }
 
-func (w *world) play(line string) error {
-	f := strings.Fields(line)
+func (w *world) play(f []string) error {
 	switch f[0] {
 	case "start": // start P at A VERSION/BASE | start P at A voters A,B,C | start P at A finish
 		w.n++
@@ -98,28 +97,7 @@
 }
 
 func TestTraces(t *testing.T) {
-	files, _ := filepath.Glob("testdata/*.trace")
-	if len(files) < 5 {
-		t.Fatalf("only %d traces", len(files))
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			raw, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			w := newWorld("a,b,c")
-			for i, line := range strings.Split(string(raw), "\n") {
-				line, _, _ = strings.Cut(line, "#")
-				if strings.TrimSpace(line) == "" {
-					continue
-				}
-				if err := w.play(line); err != nil {
-					t.Fatalf("line %d (%s): %v", i+1, line, err)
-				}
-			}
-		})
-	}
+	diary.Play(t, 7, func() func([]string) error { return newWorld("a,b,c").play })
 }
 
 // Whatever is lost, doubled or late, one slot never decides two values.
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -3,13 +3,12 @@
 import (
 	"bytes"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"swiftswitch/internal/diary"
 	"swiftswitch/internal/traverse"
 )
 
@@ -126,27 +125,8 @@
 }
 
 func TestTraces(t *testing.T) {
-	files, _ := filepath.Glob("testdata/*.trace")
-	if len(files) < 4 {
-		t.Fatalf("only %d traces", len(files))
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			raw, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			var p *Party
-			for i, line := range strings.Split(string(raw), "\n") {
-				line, _, _ = strings.Cut(line, "#")
-				f := strings.Fields(line)
-				if len(f) == 0 {
-					continue
-				}
-				if err := play(&p, f); err != nil {
-					t.Fatalf("line %d (%s): %v", i+1, strings.TrimSpace(line), err)
-				}
-			}
-		})
-	}
+	diary.Play(t, 8, func() func([]string) error {
+		var p *Party
+		return func(f []string) error { return play(&p, f) }
+	})
 }
--- a/internal/switchback/trace_test.go
+++ b/internal/switchback/trace_test.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"swiftswitch/internal/diary"
 	"swiftswitch/internal/hutbook"
 )
 
@@ -79,28 +78,9 @@
 }
 
 func TestTraces(t *testing.T) {
-	files, _ := filepath.Glob("testdata/*.trace")
-	if len(files) < 5 {
-		t.Fatalf("only %d traces", len(files))
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			raw, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			b := New(Options{R: 2, Lease: time.Second, Wait: 1200 * time.Millisecond})
-			var table *hutbook.Table
-			for i, line := range strings.Split(string(raw), "\n") {
-				line, _, _ = strings.Cut(line, "#")
-				f := strings.Fields(line)
-				if len(f) == 0 {
-					continue
-				}
-				if err := play(b, &table, f); err != nil {
-					t.Fatalf("line %d (%s): %v", i+1, strings.TrimSpace(line), err)
-				}
-			}
-		})
-	}
+	diary.Play(t, 6, func() func([]string) error {
+		b := New(Options{R: 2, Lease: time.Second, Wait: 1200 * time.Millisecond})
+		var table *hutbook.Table
+		return func(f []string) error { return play(b, &table, f) }
+	})
 }
