--- a/internal/gather/run.go
+++ b/internal/gather/run.go
@@ -17,8 +17,6 @@
 	Steady func() time.Duration
 	// HedgeAt is the part of the target after which a straggler gets company.
 	HedgeAt float64
-	// Across, where set, gathers legs in another zone by way of a front there.
-	Across Across
 }
 
 // Across asks a front in a zone for several legs of a request.
@@ -193,48 +191,54 @@
 	aloneSlack = 0.15
 )
 
+// mostIn is the zone in which most of the legs have a searcher, two at least;
+// the order of a map's walk spreads the load over equals.
+func (g *Guide) mostIn(p *Party, far []farLeg) string {
+	if len(far) < 2 {
+		return ""
+	}
+	count := map[string]int{}
+	for _, f := range far {
+		for _, z := range g.Range.Zones(p.Legs[f.leg].Service, p.Legs[f.leg].Holders) {
+			count[z]++
+		}
+	}
+	most := ""
+	for z, n := range count {
+		if n > 1 && n > count[most] {
+			most = z
+		}
+	}
+	return most
+}
+
 // cross sends the legs without a searcher in this zone: as many as possible
 // by way of one front in the zone that holds most of them, the rest directly.
 // It returns the legs that went with the front.
 func (g *Guide) cross(p *Party, far []farLeg, across Across, r *traverse.Request, t Times, results chan heard) []int {
 	var group []int
-	if len(far) > 1 {
-		count := map[string]int{}
-		most := ""
-		for _, f := range far {
-			for _, z := range g.Range.Zones(p.Legs[f.leg].Service, p.Legs[f.leg].Holders) {
-				// Of equals the one met last counts: the order of a map's walk spreads the load.
-				count[z]++
+	if most := g.mostIn(p, far); most != "" {
+		if call, ok := across.Begin(most); ok {
+			var rest []farLeg
+			for _, f := range far {
+				l := p.Legs[f.leg]
+				peer := g.Range.In(l.Service, l.Holders, most)
+				if peer == nil {
+					rest = append(rest, f)
+					continue
+				}
+				g.Range.Unchoose(f.peer, f.start)
+				p.Launched(f.leg, peer)
+				l.Lent = true
+				group = append(group, f.leg)
 			}
-		}
-		for z, n := range count {
-			if n > 1 && n > count[most] {
-				most = z
+			far = rest
+			job := func() {
+				stamps, records := call(group, time.Duration(crossWait*float64(t.Target)))
+				results <- heard{group: group, stamps: stamps, records: records}
 			}
-		}
-		if most != "" {
-			if call, ok := across.Begin(most); ok {
-				var rest []farLeg
-				for _, f := range far {
-					l := p.Legs[f.leg]
-					if peer := g.Range.In(l.Service, l.Holders, most); peer != nil {
-						g.Range.Unchoose(f.peer, f.start)
-						p.Launched(f.leg, peer)
-						l.Lent = true
-						group = append(group, f.leg)
-					} else {
-						rest = append(rest, f)
-					}
-				}
-				far = rest
-				legs := group
-				job := func() {
-					stamps, records := call(legs, time.Duration(crossWait*float64(t.Target)))
-					results <- heard{group: legs, stamps: stamps, records: records}
-				}
-				if g.Pool.Submit(job) != nil {
-					go job()
-				}
+			if g.Pool.Submit(job) != nil {
+				go job()
 			}
 		}
 	}
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -39,7 +39,6 @@
 	// counted is how many fronts there are, before what an earlier life counted.
 	counted, before int
 	others          map[string]hutSeen
-	down            map[string]bool
 	changed         chan struct{}
 	polling         bool
 
@@ -94,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, down: map[string]bool{}, changed: make(chan struct{})}
+	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{})}
 	var rec ballotRecord
 	var ep epochRecord
 	var id string
--- a/internal/lodge/node.go
+++ b/internal/lodge/node.go
@@ -23,7 +23,6 @@
 	settings atomic.Pointer[signpost.Settings]
 	path     string
 	born     time.Time
-	life     string
 	call     *rope.Client
 	stop     chan struct{}
 	leaving  atomic.Bool
@@ -73,7 +72,7 @@
 
 // open makes a node of its settings.
 func open(s *signpost.Settings, path string, options Options) (*Node, error) {
-	n := &Node{path: path, born: time.Now(), life: randomName(), stop: make(chan struct{})}
+	n := &Node{path: path, born: time.Now(), stop: make(chan struct{})}
 	n.settings.Store(s)
 	n.call = rope.NewClient(16, signpost.Ms(s.Bounds.InTouchMs, 1), n.userTimeout(), n.maxMessage())
 	n.view = newDesk()
@@ -330,8 +329,3 @@
 	}
 	return time.Time{}
 }
-
-func hostOf(addr string) string {
-	h, _, _ := net.SplitHostPort(addr)
-	return h
-}
--- a/internal/rope/conn.go
+++ b/internal/rope/conn.go
@@ -82,8 +82,6 @@
 type Conn struct {
 	net.Conn
 	in reader
-	// Used counts the requests answered on it.
-	Used int
 	// IdleSince is when it was last put aside, IdleFor how long the peer keeps it.
 	IdleSince time.Time
 	IdleFor   time.Duration
@@ -92,12 +90,14 @@
 // Control sets TCP_USER_TIMEOUT, so that a peer that fell silent is noticed.
 func Control(userTimeout time.Duration) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-		})
+		return c.Control(func(fd uintptr) { setUserTimeout(fd, userTimeout) })
 	}
 }
 
+func setUserTimeout(fd uintptr, d time.Duration) {
+	_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
+}
+
 // Dial opens a connection within the time given.
 func Dial(addr string, timeout, userTimeout time.Duration) (*Conn, error) {
 	d := net.Dialer{Timeout: timeout, Control: Control(userTimeout), KeepAlive: -1}
@@ -154,7 +154,6 @@
 		}
 		return true, err
 	}
-	c.Used++
 	return true, nil
 }
 
--- a/internal/rope/server.go
+++ b/internal/rope/server.go
@@ -12,7 +12,6 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
-	"golang.org/x/sys/unix"
 	"swiftswitch/internal/logbook"
 )
 
@@ -109,7 +108,7 @@
 		server.WithDisablePrintRoute(true),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 		server.WithOnAccept(func(c net.Conn) context.Context {
-			setUserTimeout(c, l.UserTimeout)
+			boundConn(c, l.UserTimeout)
 			_ = c.SetReadDeadline(time.Now().Add(l.ReadWithin))
 			return context.Background()
 		}),
@@ -120,7 +119,8 @@
 	return h
 }
 
-func setUserTimeout(c net.Conn, d time.Duration) {
+// boundConn sets TCP_USER_TIMEOUT on a connection that was taken.
+func boundConn(c net.Conn, d time.Duration) {
 	if l, ok := c.(*limitedConn); ok {
 		c = l.Conn
 	}
@@ -132,9 +132,7 @@
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
-	})
+	_ = raw.Control(func(fd uintptr) { setUserTimeout(fd, d) })
 }
 
 // Answer writes v as JSON.
--- a/internal/trailhead/across.go
+++ b/internal/trailhead/across.go
@@ -60,7 +60,7 @@
 	if snap == nil || h.leave.Load() || snap.Map.Version != a.Version || a.LeftMs <= 0 || len(a.Shards) == 0 {
 		return saddle.Say{}, false
 	}
-	req, ok := traverse.Lent(a.Head, a.LeftMs)
+	req, ok := traverse.Lent(a.Head)
 	if !ok {
 		return saddle.Say{}, false
 	}
@@ -73,11 +73,7 @@
 		if i < 0 || i >= len(route.Gathered) {
 			return saddle.Say{}, false
 		}
-		holders := snap.Holders[route.Gathered[i]]
-		if holders == nil {
-			holders = []string{}
-		}
-		legs = append(legs, &gather.Leg{Service: route.Gathered[i], Holders: holders})
+		legs = append(legs, snap.leg(route.Gathered[i]))
 	}
 	h.busy.Add(1)
 	h.lent.Add(1)
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -25,6 +25,16 @@
 	Holders map[string][]string
 }
 
+// leg is the part of a gathered request that goes to a shard: to its holders
+// and to nobody else, even where there are none.
+func (s *Snapshot) leg(shard string) *gather.Leg {
+	holders := s.Holders[shard]
+	if holders == nil {
+		holders = []string{}
+	}
+	return &gather.Leg{Service: shard, Holders: holders}
+}
+
 // Options are ratios.
 type Options struct {
 	// Soft is the part of the target that is used before a partial answer is weighed.
@@ -131,12 +141,17 @@
 		if v.route != nil {
 			target = v.route.Target
 		}
-		wait := float64(target) * h.opt.RetryIn * (0.5 + rand.Float64()) / float64(time.Second)
-		v.c.Response.Header.Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+		h.retryAfter(v, target)
 	}
 	return false
 }
 
+// retryAfter tells the client when to come back.
+func (h *Head) retryAfter(v *visit, target time.Duration) {
+	wait := float64(target) * h.opt.RetryIn * (0.5 + rand.Float64()) / float64(time.Second)
+	v.c.Response.Header.Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+}
+
 // pin takes the snapshot that the request keeps to its end.
 func (h *Head) pin(v *visit) bool {
 	if v.snap = h.now.Load(); v.snap == nil {
@@ -238,11 +253,7 @@
 	if len(r.Gathered) > 0 {
 		terms.Need = r.Share
 		for _, s := range r.Gathered {
-			holders := v.snap.Holders[s]
-			if holders == nil {
-				holders = []string{}
-			}
-			legs = append(legs, &gather.Leg{Service: s, Holders: holders})
+			legs = append(legs, v.snap.leg(s))
 		}
 	} else {
 		legs = []*gather.Leg{{Service: r.Pick(rand.Float64())}}
@@ -316,8 +327,7 @@
 	out.SetBodyRaw(append([]byte(nil), o.Resp.Body()...))
 	if out.StatusCode() == 503 || out.StatusCode() == 429 {
 		if len(out.Header.Peek("Retry-After")) == 0 {
-			wait := float64(v.route.Target) * h.opt.RetryIn * (0.5 + rand.Float64()) / float64(time.Second)
-			out.Header.Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+			h.retryAfter(v, v.route.Target)
 		}
 	}
 }
--- a/internal/traverse/request.go
+++ b/internal/traverse/request.go
@@ -154,8 +154,8 @@
 func (r *Request) Plain() bool { return len(r.body) == 0 && r.Method == "GET" }
 
 // Lent is a request that another front has checked and passed on by its head.
-func Lent(head string, leftMs int64) (*Request, bool) {
-	r := &Request{DeadlineMs: float64(leftMs), head: []byte(head)}
+func Lent(head string) (*Request, bool) {
+	r := &Request{DeadlineMs: -1, head: []byte(head)}
 	lines := strings.Split(head, "\r\n")
 	first := strings.Split(lines[0], " ")
 	if len(first) != 3 || lines[len(lines)-1] != "" {
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -89,7 +89,6 @@
 	near bool
 
 	inflight []time.Time
-	conns    int
 	idle     []*rope.Conn
 
 	ewma   float64
@@ -362,7 +361,6 @@
 	for {
 		g.mu.Lock()
 		if len(p.idle) == 0 {
-			p.conns++
 			g.mu.Unlock()
 			return nil
 		}
@@ -372,17 +370,8 @@
 		if now.Sub(c.IdleSince) < c.IdleFor && c.Quiet() {
 			return c
 		}
-		g.drop(p, c)
-	}
-}
-
-func (g *Range) drop(p *Peer, c *rope.Conn) {
-	if c != nil {
 		c.Close()
 	}
-	g.mu.Lock()
-	p.conns--
-	g.mu.Unlock()
 }
 
 // Try sends the request to a chosen searcher and waits for its answer until
@@ -405,7 +394,6 @@
 	if fresh {
 		var err error
 		if c, err = rope.Dial(p.Addr, min(left, g.opt.DialWithin), g.opt.UserTimeout); err != nil {
-			g.drop(p, nil)
 			return Outcome{Verdict: Unsent, Err: err}
 		}
 		left = time.Until(deadline)
@@ -418,7 +406,7 @@
 		}
 	}
 	if err != nil {
-		g.drop(p, c)
+		c.Close()
 		protocol.ReleaseResponse(out)
 		if !sent {
 			return Outcome{Verdict: Unsent, Err: err}
@@ -432,7 +420,7 @@
 	}
 	g.note(p, out)
 	if out.ConnectionClose() || c.Surplus() {
-		g.drop(p, c)
+		c.Close()
 	} else {
 		g.rest(p, c, out)
 	}
@@ -486,7 +474,7 @@
 	g.mu.Lock()
 	if p.gone {
 		g.mu.Unlock()
-		g.drop(p, c)
+		c.Close()
 		return
 	}
 	p.idle = append(p.idle, c)
@@ -579,7 +567,6 @@
 		for _, c := range p.idle {
 			if now.Sub(c.IdleSince) >= c.IdleFor {
 				shut = append(shut, c)
-				p.conns--
 			} else {
 				keep = append(keep, c)
 			}
