--- a/internal/cairn/state.go
+++ b/internal/cairn/state.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"reflect"
 )
 
 // Ballot orders the rounds for one slot.
@@ -20,31 +21,43 @@
 	IP string
 }
 
-// Value is what a slot decides: a configuration on top of Base, or a set of voters.
-type Value struct {
-	Version int64   `json:",omitempty"`
-	Base    int64   `json:",omitempty"`
-	Body    string  `json:",omitempty"`
-	Voters  []Voter `json:",omitempty"`
+// Purge names copies that may not be served any more: one object by host and
+// path, or all that carry a tag.
+type Purge struct {
+	// N numbers the purges; it is given when the slot is decided.
+	N int64 `json:",omitempty"`
+	// ID is drawn by whoever took the operator's call, to know it again.
+	ID   string
+	Host string `json:",omitempty"`
+	Path string `json:",omitempty"`
+	Tag  string `json:",omitempty"`
 }
 
-// Equal compares two values.
-func (v Value) Equal(o Value) bool {
-	return v.Version == o.Version && v.Base == o.Base && v.Body == o.Body && sameVoters(v.Voters, o.Voters)
+// Larder is a node that keeps copies and may fetch.
+type Larder struct {
+	Name string
+	IP   string
+	Zone string
 }
 
-func sameVoters(a, b []Voter) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
+// Value is what a slot decides: a configuration on top of Base, a set of
+// voters, some purges, or the set of larders.
+type Value struct {
+	Version int64  `json:",omitempty"`
+	Base    int64  `json:",omitempty"`
+	Body    string `json:",omitempty"`
+	// Sent is the fingerprint of the operator's call where that is not Body itself.
+	Sent    string   `json:",omitempty"`
+	Voters  []Voter  `json:",omitempty"`
+	Purges  []Purge  `json:",omitempty"`
+	Larders []Larder `json:",omitempty"`
+	// NoLarders: the set of larders is empty.
+	NoLarders bool `json:",omitempty"`
 }
 
+// Equal compares two values.
+func (v Value) Equal(o Value) bool { return reflect.DeepEqual(v, o) }
+
 // Taken remembers a configuration that was chosen, to know its resends.
 type Taken struct {
 	Version int64
@@ -52,8 +65,11 @@
 	Sum     string
 }
 
-// takenKept bounds how many chosen configurations are remembered.
-const takenKept = 256
+// takenKept bounds how many chosen configurations are remembered, purgesKept how many purges.
+const (
+	takenKept  = 256
+	purgesKept = 256
+)
 
 // State is all that the decided slots say.
 type State struct {
@@ -61,8 +77,30 @@
 	Slot    int64
 	Voters  []Voter
 	Version int64
-	Body    string
-	Taken   []Taken
+	Body    string  `json:",omitempty"`
+	Taken   []Taken `json:",omitempty"`
+	// PurgeSeq is the number of the last purge; Purges holds the newest ones.
+	PurgeSeq int64    `json:",omitempty"`
+	Purges   []Purge  `json:",omitempty"`
+	Larders  []Larder `json:",omitempty"`
+}
+
+// PurgeFloor is the number of the last purge that is no longer held.
+func (s State) PurgeFloor() int64 { return s.PurgeSeq - int64(len(s.Purges)) }
+
+// PurgesAfter lists the purges held with a number above n.
+func (s State) PurgesAfter(n int64) []Purge {
+	return s.Purges[min(max(0, n-s.PurgeFloor()), int64(len(s.Purges))):]
+}
+
+// HasPurge tells whether the purge of that call is among those held.
+func (s State) HasPurge(id string) bool {
+	for i := len(s.Purges) - 1; i >= 0; i-- {
+		if s.Purges[i].ID == id {
+			return true
+		}
+	}
+	return false
 }
 
 // Sum is the fingerprint under which a configuration is remembered.
@@ -71,23 +109,44 @@
 	return hex.EncodeToString(h[:16])
 }
 
-// Apply gives the state after the next slot decided v.
+// Apply gives the state after the next slot decided v. A configuration that
+// builds on another version than the one in place changes nothing: whatever a
+// proposer overlooked, of two changes on one base only the first counts.
 func (s State) Apply(v Value) State {
 	n := s
 	n.Slot++
-	if len(v.Voters) > 0 {
+	switch {
+	case len(v.Voters) > 0:
 		n.Voters = v.Voters
 		return n
+	case len(v.Larders) > 0 || v.NoLarders:
+		n.Larders = v.Larders
+		return n
+	case len(v.Purges) > 0:
+		n.Purges = append([]Purge(nil), s.Purges...)
+		for _, p := range v.Purges {
+			n.PurgeSeq++
+			p.N = n.PurgeSeq
+			n.Purges = append(n.Purges, p)
+		}
+		n.Purges = n.Purges[max(0, len(n.Purges)-purgesKept):]
+		return n
+	}
+	if v.Base != s.Version || v.Version <= s.Version {
+		return n
 	}
 	n.Version, n.Body = v.Version, v.Body
 	from := max(0, len(s.Taken)+1-takenKept)
-	n.Taken = append(append([]Taken(nil), s.Taken[from:]...), Taken{v.Version, v.Base, Sum(v.Body)})
+	sum := v.Sent
+	if sum == "" {
+		sum = Sum(v.Body)
+	}
+	n.Taken = append(append([]Taken(nil), s.Taken[from:]...), Taken{v.Version, v.Base, sum})
 	return n
 }
 
-// Has tells whether that very configuration was chosen earlier.
-func (s State) Has(version, base int64, body string) bool {
-	sum := Sum(body)
+// Has tells whether the change that came by the call with that fingerprint was chosen earlier.
+func (s State) Has(version, base int64, sum string) bool {
 	for i := len(s.Taken) - 1; i >= 0; i-- {
 		if t := s.Taken[i]; t.Version == version && t.Base == base && t.Sum == sum {
 			return true
--- a/internal/cairn/trace_test.go
+++ b/internal/cairn/trace_test.go
@@ -75,6 +75,15 @@
 	case "wipe": // wipe A B: A's disk is lost, B is its new identity, without any state
 		delete(w.accs, f[1])
 		w.accs[f[2]] = &Acceptor{ID: f[2]}
+	case "join": // join A: a node with an empty disk, without a vote
+		w.accs[f[1]] = &Acceptor{ID: f[1]}
+	case "has", "hasnot": // has A VERSION/BASE
+		v, b, _ := strings.Cut(f[2], "/")
+		vn, _ := strconv.ParseInt(v, 10, 64)
+		bn, _ := strconv.ParseInt(b, 10, 64)
+		if w.accs[f[1]].State.Has(vn, bn, Sum("body-"+v)) != (f[0] == "has") {
+			return fmt.Errorf("%s: %s", f[0], f[2])
+		}
 	case "stage":
 		want := map[string]Stage{"preparing": Preparing, "accepting": Accepting, "chosen": Chosen, "behind": Behind, "outbid": Outbid}[f[2]]
 		if got := w.prop[f[1]].Stage; got != want {
@@ -97,7 +106,7 @@
 }
 
 func TestTraces(t *testing.T) {
-	diary.Play(t, 7, func() func([]string) error { return newWorld("a,b,c").play })
+	diary.Play(t, 9, func() func([]string) error { return newWorld("a,b,c").play })
 }
 
 // Whatever is lost, doubled or late, one slot never decides two values.
@@ -173,10 +182,10 @@
 		s = s.Apply(Value{Version: v, Base: v - 1, Body: fmt.Sprint(v)})
 	}
 	last := int64(2*takenKept - 1)
-	if !s.Has(last, last-1, fmt.Sprint(last)) || !s.Has(last-5, last-6, fmt.Sprint(last-5)) {
+	if !s.Has(last, last-1, Sum(fmt.Sprint(last))) || !s.Has(last-5, last-6, Sum(fmt.Sprint(last-5))) {
 		t.Fatal("a configuration taken lately is not known")
 	}
-	if s.Has(last, last-1, "other") || s.Has(last, last-2, fmt.Sprint(last)) {
+	if s.Has(last, last-1, Sum("other")) || s.Has(last, last-2, Sum(fmt.Sprint(last))) {
 		t.Fatal("another configuration is taken for the one taken")
 	}
 	if len(s.Taken) != takenKept {
--- a/internal/cellar/cellar.go
+++ b/internal/cellar/cellar.go
@@ -88,8 +88,15 @@
 // Put writes a record; then is called once it is on disk, or can't be put
 // there. A later Put of the same name may take its place on the way.
 func (c *Cellar) Put(name string, value []byte, then func(error)) {
+	c.PutAll(map[string][]byte{name: value}, then)
+}
+
+// PutAll writes several records: all of them are on disk, or none.
+func (c *Cellar) PutAll(records map[string][]byte, then func(error)) {
 	c.mu.Lock()
-	c.pending[name] = value
+	for name, value := range records {
+		c.pending[name] = value
+	}
 	if then != nil {
 		c.waiting = append(c.waiting, then)
 	}
--- a/internal/gather/run.go
+++ b/internal/gather/run.go
@@ -203,11 +203,18 @@
 			count[z]++
 		}
 	}
-	most := ""
+	most, close := "", ""
 	for z, n := range count {
 		if n > 1 && n > count[most] {
 			most = z
 		}
+		if g.Range.Distance(z) < 2 && n > 1 && n > count[close] {
+			close = z
+		}
+	}
+	// Bytes within the region cost less, even if some legs are left over.
+	if 2*count[close] >= count[most] && close != "" {
+		return close
 	}
 	return most
 }
--- a/internal/hutbook/hutbook.go
+++ b/internal/hutbook/hutbook.go
@@ -41,6 +41,65 @@
 	Searchers []Searcher
 }
 
+// Delta is what changed between two tables.
+type Delta struct {
+	From, To  Stamp
+	NextEntry int64
+	Set       []Searcher `json:",omitempty"`
+	Gone      []string   `json:",omitempty"`
+}
+
+// Diff gives the way from one table to another.
+func Diff(from, to *Table) *Delta {
+	d := &Delta{From: from.Stamp, To: to.Stamp, NextEntry: to.NextEntry}
+	was := map[string]Searcher{}
+	for _, s := range from.Searchers {
+		was[s.ID] = s
+	}
+	for _, s := range to.Searchers {
+		if old, ok := was[s.ID]; !ok || old != s {
+			d.Set = append(d.Set, s)
+		}
+		delete(was, s.ID)
+	}
+	for id := range was {
+		d.Gone = append(d.Gone, id)
+	}
+	sort.Strings(d.Gone)
+	return d
+}
+
+// Follow gives the table after the delta, or nil where that does not fit.
+func (t *Table) Follow(d *Delta) *Table {
+	if t == nil || t.Stamp != d.From {
+		return nil
+	}
+	set := map[string]Searcher{}
+	for _, s := range d.Set {
+		set[s.ID] = s
+	}
+	gone := map[string]bool{}
+	for _, id := range d.Gone {
+		gone[id] = true
+	}
+	n := &Table{Stamp: d.To, NextEntry: d.NextEntry}
+	for _, s := range t.Searchers {
+		if gone[s.ID] {
+			continue
+		}
+		if now, ok := set[s.ID]; ok {
+			s = now
+			delete(set, s.ID)
+		}
+		n.Searchers = append(n.Searchers, s)
+	}
+	for _, s := range set {
+		n.Searchers = append(n.Searchers, s)
+	}
+	sort.Slice(n.Searchers, func(i, j int) bool { return n.Searchers[i].ID < n.Searchers[j].ID })
+	return n
+}
+
 // Merge gives the newer of two tables; a table from a lower epoch is refused.
 func Merge(a, b *Table) *Table {
 	switch {
--- a/internal/hutbook/hutbook_test.go
+++ b/internal/hutbook/hutbook_test.go
@@ -1,6 +1,9 @@
 package hutbook
 
-import "testing"
+import (
+	"reflect"
+	"testing"
+)
 
 func TestTables(t *testing.T) {
 	l := []Searcher{{ID: "b", Service: "s"}, {ID: "a", Service: "s"}}
@@ -23,3 +26,19 @@
 		t.Fatal("merge does not keep the newest")
 	}
 }
+
+// What changed between two tables leads from one to the other, and to nothing else.
+func TestDelta(t *testing.T) {
+	a, _ := Next(nil, []Searcher{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Stamp{Epoch: 1, Seq: 1})
+	b, _ := Next(a, []Searcher{{ID: "a"}, {ID: "c", Drains: true}, {ID: "d"}}, Stamp{Epoch: 1, Seq: 2})
+	d := Diff(a, b)
+	if len(d.Set) != 2 || len(d.Gone) != 1 {
+		t.Fatalf("%+v", d)
+	}
+	if got := a.Follow(d); !reflect.DeepEqual(got, b) {
+		t.Fatalf("%+v", got)
+	}
+	if b.Follow(d) != nil || (*Table)(nil).Follow(d) != nil {
+		t.Fatal("a delta was applied to another table")
+	}
+}
--- a/internal/lodge/agree.go
+++ b/internal/lodge/agree.go
@@ -16,16 +16,21 @@
 	time.Sleep(signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.002+most*rand.Float64()))
 }
 
-// round runs one ballot on the open slot. It returns true when the node's
-// state moved on, whoever's value it was.
-func (h *hut) round(own *cairn.Value) bool {
-	var base cairn.State
+// round runs one ballot on the slot after base, the state that own was made
+// for: had this node moved on in the meantime, own would rest on something
+// that is no longer so. It returns true when the node's state is a later one
+// in the end, whoever's value it was.
+func (h *hut) round(base cairn.State, own *cairn.Value) bool {
 	var b cairn.Ballot
+	moved := false
 	h.desk.ask(func() {
-		base = h.acc.State
+		moved = h.acc.State.Slot != base.Slot
 		h.highest++
 		b = cairn.Ballot{N: h.highest, By: h.acc.ID}
 	})
+	if moved {
+		return true
+	}
 	p := cairn.NewProposer(base, b, own)
 	for p.Stage <= cairn.Accepting {
 		stage, m := p.Stage, p.Ask()
@@ -123,7 +128,7 @@
 			if !begun && !ahead {
 				return s, true
 			}
-			h.round(nil)
+			h.round(s, nil)
 		}
 		if time.Now().After(until) {
 			return s, false
@@ -162,7 +167,7 @@
 					} else {
 						h.learn(got.State, "caught up")
 					}
-					h.put(recState, h.acc.State, func(err error) { done <- err })
+					h.putState(true, func(err error) { done <- err })
 				})
 				if <-done != nil {
 					break
@@ -179,9 +184,43 @@
 	}
 }
 
-// handleJoin gives a node a vote: in the place of the old identity at its
-// address, or of a voter that left or has been silent for long. The number
-// of voters stays.
+// wanted is how many voters bear the losses that the settings name.
+func (h *hut) wanted() int { return 2*int(h.n.set().ToleratedLosses.GetMachines()) + 1 }
+
+// grown waits until there are as many voters as bear the losses to be borne,
+// as far as there are nodes to vote: what a majority of fewer holds could be
+// lost with them, so it is not acknowledged. A node that has been up for long
+// without seeing the others come settles for those that are there.
+func (h *hut) grown(until time.Time) bool {
+	for {
+		enough := false
+		h.desk.ask(func() {
+			s, now := h.acc.State, h.n.steady()
+			known := len(s.Voters)
+			for ip := range h.others {
+				if !slices.ContainsFunc(s.Voters, func(v cairn.Voter) bool { return v.IP == ip }) {
+					known++
+				}
+			}
+			want := h.wanted()
+			if now > signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.75) {
+				want = min(want, known)
+			}
+			enough = len(s.Voters) >= want
+		})
+		if enough {
+			return true
+		}
+		if time.Now().After(until) {
+			return false
+		}
+		time.Sleep(h.n.heartbeat(0.05))
+	}
+}
+
+// handleJoin gives a node a vote: a further one while there are fewer than
+// are wanted, else in the place of the old identity at its address, or of a
+// voter that left or has been silent for long.
 func (h *hut) handleJoin(m joinAsk) joinSay {
 	if m.ID == "" || m.IP == "" {
 		return joinSay{}
@@ -196,7 +235,7 @@
 		s = h.acc.State
 		now := h.n.steady()
 		if _, known := h.others[m.IP]; !known {
-			h.others[m.IP] = hutSeen{m.ID, now, false}
+			h.others[m.IP] = hutSeen{id: m.ID, at: now}
 		}
 		if s.Votes(m.ID) || !s.Votes(h.acc.ID) {
 			return
@@ -214,14 +253,17 @@
 				out = i
 			}
 		}
-		if out >= 0 {
-			voters := slices.Clone(s.Voters)
+		voters := slices.Clone(s.Voters)
+		switch {
+		case out >= 0:
 			voters[out] = cairn.Voter{ID: m.ID, IP: m.IP}
 			own = &cairn.Value{Voters: voters}
+		case len(voters) < h.wanted():
+			own = &cairn.Value{Voters: append(voters, cairn.Voter{ID: m.ID, IP: m.IP})}
 		}
 	})
 	if own != nil {
-		for try := 0; try < 3 && !h.round(own); try++ {
+		for try := 0; try < 3 && !h.round(s, own); try++ {
 			h.pause(try)
 		}
 		s = h.state()
--- a/internal/lodge/duty.go
+++ b/internal/lodge/duty.go
@@ -16,6 +16,7 @@
 func (h *hut) dutyLoop() {
 	for {
 		var mine, taken, silence bool
+		kept := make(chan error, 1)
 		h.desk.ask(func() {
 			silence = h.silence()
 			if h.n.leaving.Load() {
@@ -24,14 +25,16 @@
 			mine, taken = h.duty.Mine(h.n.steady())
 			if taken {
 				logbook.Log(logbook.DutyTaken, "epoch", h.duty.Epoch)
-				h.put(recEpoch, epochRecord{h.duty.Epoch, h.duty.Holder}, nil)
+				h.put(recEpoch, epochRecord{h.duty.Epoch, h.duty.Holder}, func(err error) { kept <- err })
 			}
 			if h.polling && !mine {
 				logbook.Log(logbook.DutyLeft, "epoch", h.duty.Epoch, "holder", h.duty.Holder)
 			}
 			h.polling = mine
 		})
-		if taken {
+		if taken && !h.epochKept(kept) {
+			mine = false
+		} else if taken {
 			// The others hear of the epoch before anything is written under it.
 			h.beatAll()
 		}
@@ -52,6 +55,34 @@
 	}
 }
 
+// epochKept waits until a new epoch is on disk: only then may anything be
+// reported under it, or this node's next life could report under it again. A
+// node that can't keep it leaves the duty to another for a while.
+func (h *hut) epochKept(kept chan error) bool {
+	var err error
+	select {
+	case err = <-kept:
+	case <-time.After(signpost.Ms(h.n.set().Bounds.DrainMs, 0.15)):
+		err = errors.New("the disk takes too long")
+	}
+	if err == nil {
+		return true
+	}
+	alone := false
+	h.desk.ask(func() {
+		now := h.n.steady()
+		if alone = h.duty.Alone(now); !alone {
+			h.duty.Unfit(now + signpost.Ms(h.n.set().Bounds.DrainMs, 0.5))
+			h.polling = false
+		}
+	})
+	logbook.Log(logbook.DutyUnfit, "err", err, "alone", alone)
+	if !alone {
+		h.beatAll()
+	}
+	return alone
+}
+
 // poll reads the list whole and merges it under this node's epoch.
 func (h *hut) poll() {
 	list, err := h.list()
@@ -60,7 +91,7 @@
 		return
 	}
 	h.desk.ask(func() {
-		if h.duty.Holder != h.duty.Self {
+		if !h.duty.Holds() {
 			return
 		}
 		stamp := hutbook.Stamp{Epoch: h.duty.Epoch, By: h.duty.Self, Seq: 1}
@@ -72,9 +103,7 @@
 			return
 		}
 		logbook.Log(logbook.ListChanged, "searchers", len(t.Searchers), "epoch", stamp.Epoch, "seq", stamp.Seq)
-		h.table = t
-		h.put(recTable, t, nil)
-		h.announce()
+		h.setTable(t)
 		h.spread(t)
 	})
 }
@@ -98,9 +127,7 @@
 	}
 	h.duty.See(t.Stamp.Epoch, t.Stamp.By)
 	if m := hutbook.Merge(h.table, t); m != h.table {
-		h.table = m
-		h.put(recTable, m, nil)
-		h.announce()
+		h.setTable(m)
 	}
 }
 
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -33,14 +35,26 @@
 	learned time.Duration
 	highest int64
 	table   *hutbook.Table
-	duty    *warden.Duty
-	depot   *depot.Depot
-	fronts  map[string]frontSeen
+	// past holds the last few tables, to tell what changed since them.
+	past   []*hutbook.Table
+	duty   *warden.Duty
+	depot  *depot.Depot
+	fronts map[string]frontSeen
 	// counted is how many fronts there are, before what an earlier life counted.
 	counted, before int
 	others          map[string]hutSeen
 	changed         chan struct{}
 	polling         bool
+	// rollN numbers the states of the roll of nodes that watch this hut
+	// first; rolls holds those of the other huts.
+	rollN  int64
+	rolled string
+	rolls  map[string]rollSeen
+	// known are the fronts that this hut or another heard, and when.
+	known map[string]time.Duration
+
+	// born tells one life of this node from another.
+	born int64
 
 	// proposing lets one proposal of this node run at a time.
 	proposing sync.Mutex
@@ -57,14 +71,25 @@
 	ready bool
 	// out is how many searchers have fallen silent for it.
 	out int
+	// first: it watches this hut before others. larder: it serves no clients.
+	first, larder bool
 }
 
 type hutSeen struct {
 	id      string
 	at      time.Duration
 	leaving bool
+	zone    string
+}
+
+type rollSeen struct {
+	roll
+	asking bool
 }
 
+// pastKept is how many tables back a hut can tell the difference.
+const pastKept = 8
+
 // ballotRecord is the acceptor's part that changes with every round.
 type ballotRecord struct {
 	Slot     int64
@@ -81,6 +106,7 @@
 const (
 	recIdentity = "identity"
 	recState    = "state"
+	recBody     = "body"
 	recBallot   = "ballot"
 	recEpoch    = "epoch"
 	recTable    = "table"
@@ -93,11 +119,12 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{})}
+	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{}), rolls: map[string]rollSeen{}, known: map[string]time.Duration{}}
 	var rec ballotRecord
+	var body bodyRecord
 	var ep epochRecord
 	var id string
-	for name, v := range map[string]any{recIdentity: &id, recState: &h.acc.State, recBallot: &rec, recEpoch: &ep, recTable: &h.table, recFronts: &h.before} {
+	for name, v := range map[string]any{recIdentity: &id, recState: &h.acc.State, recBody: &body, recBallot: &rec, recEpoch: &ep, recTable: &h.table, recFronts: &h.before} {
 		raw, err := cel.Get(name)
 		if err != nil {
 			return nil, err
@@ -120,12 +147,16 @@
 		}
 		wait := make(chan error, 2)
 		h.put(recIdentity, id, nil)
-		h.put(recState, h.acc.State, func(err error) { wait <- err })
+		h.putState(true, func(err error) { wait <- err })
 		if err := <-wait; err != nil {
 			return nil, err
 		}
 	}
 	h.acc.ID = id
+	h.born = rand.Int64N(1<<40) << 10
+	if body.Version > 0 && body.Version == h.acc.State.Version {
+		h.acc.State.Body, h.acc.State.Taken = body.Body, body.Taken
+	}
 	if rec.Slot == h.acc.State.Slot+1 {
 		h.acc.Promised, h.acc.Accepted, h.acc.Value = rec.Promised, rec.Accepted, rec.Value
 	}
@@ -135,13 +166,33 @@
 	return h, nil
 }
 
-func (h *hut) put(name string, v any, then func(error)) {
+func encode(name string, v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
 		logbook.Log(logbook.InvariantBroken, "record", name, "err", err)
 		panic(err)
 	}
-	h.cellar.Put(name, b, then)
+	return b
+}
+
+func (h *hut) put(name string, v any, then func(error)) { h.cellar.Put(name, encode(name, v), then) }
+
+// bodyRecord holds the part of the state that changes with the version only.
+type bodyRecord struct {
+	Version int64
+	Body    string
+	Taken   []cairn.Taken
+}
+
+// putState writes the decided state; what is large is written only where it changed.
+func (h *hut) putState(body bool, then func(error)) {
+	s := h.acc.State
+	s.Body, s.Taken = "", nil
+	records := map[string][]byte{recState: encode(recState, s)}
+	if body {
+		records[recBody] = encode(recBody, bodyRecord{h.acc.State.Version, h.acc.State.Body, h.acc.State.Taken})
+	}
+	h.cellar.PutAll(records, then)
 }
 
 func (h *hut) start() {
@@ -174,7 +225,7 @@
 	}
 	h.learned = h.n.steady()
 	h.setOrder()
-	h.put(recState, h.acc.State, nil)
+	h.putState(s.Version != old.Version, nil)
 	if s.Version != old.Version {
 		logbook.Log(logbook.ConfigChosen, "slot", s.Slot, "version", s.Version, "how", how)
 	}
@@ -225,7 +276,7 @@
 		var say stateSay
 		h.desk.ask(func() { say = stateSay{h.acc.State, (h.n.steady() - h.learned).Milliseconds()} })
 		if string(c.Request.URI().QueryString()) == "brief" {
-			say.State.Taken = nil
+			say.State.Taken, say.State.Purges, say.State.Voters = nil, nil, nil
 		}
 		rope.Answer(c, 200, say)
 	case pathPeek:
@@ -244,6 +295,10 @@
 			h.desk.ask(func() { h.merge(&t) })
 			rope.Answer(c, 200, struct{}{})
 		}
+	case pathRoll:
+		var r roll
+		h.desk.ask(func() { r = h.roll() })
+		rope.Answer(c, 200, r)
 	case pathJoin:
 		var m joinAsk
 		if rope.Read(c, &m) {
@@ -296,7 +351,9 @@
 
 // beat is this node's sign of life; it runs on the desk.
 func (h *hut) beat() beat {
-	b := beat{ID: h.acc.ID, IP: h.n.set().IpAddress, Slot: h.acc.State.Slot, Epoch: h.duty.Epoch, Holder: h.duty.Holder, Leaving: h.n.leaving.Load()}
+	b := beat{ID: h.acc.ID, IP: h.n.set().IpAddress, Slot: h.acc.State.Slot, Epoch: h.duty.Epoch, Holder: h.duty.Holder, Zone: h.n.set().Zone, Leaving: h.n.leaving.Load()}
+	b.Unfit = !h.duty.Fit(h.n.steady())
+	b.Roll = h.roll().Roll
 	if h.table != nil {
 		b.Stamp = h.table.Stamp
 	}
@@ -306,11 +363,16 @@
 // hear takes another hut's sign of life; it runs on the desk.
 func (h *hut) hear(b beat) {
 	now := h.n.steady()
-	h.others[b.IP] = hutSeen{b.ID, now, b.Leaving}
+	h.others[b.IP] = hutSeen{b.ID, now, b.Leaving, b.Zone}
 	h.duty.Hear(b.ID, b.Epoch, b.Holder, now)
-	if b.Leaving {
+	if b.Leaving || b.Unfit {
 		h.duty.Leave(b.ID)
 	}
+	if r := h.rolls[b.IP]; r.Roll != b.Roll && !r.asking {
+		r.asking = true
+		h.rolls[b.IP] = r
+		go h.askRoll(b.IP)
+	}
 	h.depot.Confirm(b.IP, b.Slot)
 	if h.depot.Owed(b.IP, h.acc.State.Slot) {
 		h.depot.Start(b.IP)
@@ -352,6 +414,7 @@
 			add(ip)
 		} else if !slices.Contains(out, ip) {
 			delete(h.others, ip)
+			delete(h.rolls, ip)
 			h.depot.Forget(ip)
 		}
 	}
@@ -408,27 +471,19 @@
 		var changed chan struct{}
 		news := false
 		h.desk.ask(func() {
-			now := h.n.steady()
-			h.fronts[m.Name] = frontSeen{now, now + hold + h.n.heartbeat(1), m.Slot, m.IP, m.Zone, m.Ready, m.Out}
-			say = watchSay{Zone: h.n.set().Zone, Slot: h.acc.State.Slot, Fronts: h.countFronts(now)}
-			for _, v := range h.acc.State.Voters {
-				say.Huts = append(say.Huts, v.IP)
-			}
-			if !m.Brief {
-				say.Roster = h.roster(now)
-			}
-			if h.table != nil {
-				say.Stamp = h.table.Stamp
-				if m.Stamp.Less(h.table.Stamp) {
-					news = true
-					if !m.Brief {
-						say.Table = h.table
-					}
-				}
-			}
-			news = news || say.Slot > m.Slot && h.acc.State.Version > 0
+			h.seen(m, h.n.steady()+hold)
+			say, news = h.say(m)
 			changed = h.changed
 		})
+		if news && m.Brief && !late {
+			// Whoever is watched first brings it sooner; what follows goes along.
+			select {
+			case <-time.After(h.n.heartbeat(0.1)):
+			case <-h.n.stop:
+			}
+			late = true
+			continue
+		}
 		if news || late || h.n.leaving.Load() {
 			return say
 		}
@@ -442,12 +497,120 @@
 	}
 }
 
-// roster lists the fronts that are ready and were heard lately; it runs on the desk.
-func (h *hut) roster(now time.Duration) []saddle.Front {
-	var out []saddle.Front
+// seen notes a node that watches; it runs on the desk.
+func (h *hut) seen(m watchAsk, until time.Duration) {
+	h.fronts[m.Name] = frontSeen{h.n.steady(), until + h.n.heartbeat(1), m.Slot, m.IP, m.Zone, m.Ready, m.Out, m.First, m.Larder}
+}
+
+// say tells a watcher what it lacks; it runs on the desk.
+func (h *hut) say(m watchAsk) (say watchSay, news bool) {
+	now := h.n.steady()
+	s := h.acc.State
+	say = watchSay{Zone: h.n.set().Zone, Slot: s.Slot, Version: s.Version, Fronts: h.countFronts(now), Purge: s.PurgeSeq, Floor: s.PurgeFloor()}
+	if m.Roster || s.Slot > m.Slot {
+		for _, v := range s.Voters {
+			say.Huts = append(say.Huts, hutAt{v.IP, h.zoneOf(v.IP)})
+		}
+		say.Larders = s.Larders
+	}
+	if m.Roster {
+		say.Roster = h.roster(now, m.Zone)
+	}
+	if m.Purge >= 0 {
+		say.Purges = s.PurgesAfter(m.Purge)
+	}
+	if h.table != nil {
+		say.Stamp = h.table.Stamp
+		if m.Stamp.Less(h.table.Stamp) {
+			news = true
+			if !m.Brief {
+				h.tell1(&say, m.Stamp)
+			}
+		}
+	}
+	return say, news || s.Slot > m.Slot && s.Version > 0
+}
+
+// tell1 adds the table, or what changed since the one that is held.
+func (h *hut) tell1(say *watchSay, held hutbook.Stamp) {
+	for _, t := range h.past {
+		if t.Stamp == held {
+			say.Delta = hutbook.Diff(t, h.table)
+			return
+		}
+	}
+	say.Table = h.table
+}
+
+// setTable puts a newer table in force; it runs on the desk.
+func (h *hut) setTable(t *hutbook.Table) {
+	if h.table != nil {
+		h.past = append(h.past, h.table)
+		h.past = h.past[max(0, len(h.past)-pastKept):]
+	}
+	h.table = t
+	h.put(recTable, t, nil)
+	h.announce()
+}
+
+func (h *hut) zoneOf(ip string) string {
+	if ip == h.n.set().IpAddress {
+		return h.n.set().Zone
+	}
+	return h.others[ip].zone
+}
+
+// roll lists the fronts that watch this hut first; it runs on the desk.
+func (h *hut) roll() roll {
+	now := h.n.steady()
+	r := roll{}
 	for name, f := range h.fronts {
-		if f.ready && now < f.until {
-			out = append(out, saddle.Front{Name: name, IP: f.ip, Zone: f.zone})
+		if f.first && !f.larder && now < f.until {
+			r.Fronts = append(r.Fronts, saddle.Front{Name: name, IP: f.ip, Zone: f.zone, Out: !f.ready})
+		}
+	}
+	slices.SortFunc(r.Fronts, func(a, b saddle.Front) int { return strings.Compare(a.Name, b.Name) })
+	if is := fmt.Sprint(r.Fronts); is != h.rolled {
+		h.rolled = is
+		h.rollN++
+	}
+	// Another life of this hut must not be taken for this one.
+	r.Roll = h.born + h.rollN
+	return r
+}
+
+// askRoll brings the roll of another hut.
+func (h *hut) askRoll(ip string) {
+	var r roll
+	err := h.n.call.Ask(h.n.set().RopeAddr(ip), pathRoll, struct{}{}, &r, h.n.heartbeat(0.8))
+	h.desk.post(func() {
+		if err != nil {
+			r = h.rolls[ip].roll
+		}
+		h.rolls[ip] = rollSeen{roll: r}
+	})
+}
+
+// rosterMost is how many fronts of a zone one front is told of.
+const rosterMost = 4
+
+// roster lists some fronts of every other zone that are ready; it runs on the desk.
+func (h *hut) roster(now time.Duration, but string) []saddle.Front {
+	all := h.roll().Fronts
+	for ip, r := range h.rolls {
+		if now-h.others[ip].at < signpost.Ms(h.n.set().Bounds.InTouchMs, 1) {
+			all = append(all, r.Fronts...)
+		}
+	}
+	count := map[string]int{}
+	seen := map[string]bool{}
+	out := []saddle.Front{}
+	for _, i := range rand.Perm(len(all)) {
+		f := all[i]
+		if !f.Out && f.Zone != but && !seen[f.Name] && count[f.Zone] < rosterMost {
+			count[f.Zone]++
+			seen[f.Name] = true
+			out = append(out, f)
 		}
 	}
 	return out
@@ -464,18 +627,31 @@
 	return false
 }
 
-// countFronts counts the fronts heard within the window of the retry budget.
-// A hut that just started goes by what it counted in its life before: after a
-// loss of everything the fronts must not think that each of them is alone. It
-// runs on the desk.
+// countFronts counts the fronts that this hut or another heard within the
+// window of the retry budget. A hut that just started goes by what it counted
+// in its life before: after a loss of everything the fronts must not think
+// that each of them is alone. It runs on the desk.
 func (h *hut) countFronts(now time.Duration) int {
 	window := signpost.Sec(h.n.set().Bounds.RetryWindowS, 1)
 	for name, f := range h.fronts {
+		if !f.larder {
+			h.known[name] = f.at
+		}
 		if now-f.at > window {
 			delete(h.fronts, name)
 		}
 	}
-	n := len(h.fronts)
+	for ip, r := range h.rolls {
+		for _, f := range r.Fronts {
+			h.known[f.Name] = max(h.known[f.Name], h.others[ip].at)
+		}
+	}
+	for name, at := range h.known {
+		if now-at > window {
+			delete(h.known, name)
+		}
+	}
+	n := len(h.known)
 	if now < window {
 		n = max(n, h.before)
 	}
@@ -560,7 +736,10 @@
 	own := &cairn.Value{Version: version, Base: base, Body: body}
 	for try := 0; ; try++ {
 		s := h.state()
-		if s.Has(version, base, body) {
+		if s.Has(version, base, cairn.Sum(body)) {
+			if !h.grown(until) {
+				return 503, taken{why: "too few nodes hold it yet"}
+			}
 			h.held(s.Slot, signpost.Ms(bounds.AcknowledgeMs, 0.1))
 			return 200, taken{version: version}
 		}
@@ -581,7 +760,7 @@
 			}
 			continue
 		}
-		if !h.round(own) {
+		if !h.round(s, own) {
 			if time.Now().After(until) {
 				return 503, taken{why: "no majority agreed in time"}
 			}
--- a/internal/lodge/lodge_test.go
+++ b/internal/lodge/lodge_test.go
@@ -345,6 +345,82 @@
 	})
 }
 
+// Two disks of five lost right after an acknowledgement, the other machines
+// without power at the same moment: nothing acknowledged is gone. What the
+// holder of the duty does after it came back at once is not taken for old.
+func TestFiveHutsLoseTwoDisks(t *testing.T) {
+	w := newTown(t)
+	w.losses = 2
+	s := w.searcher("plain", "plain-a")
+	w.searcher("plain", "plain-b")
+	w.searcher("s1", "s1-a")
+	for _, n := range []int{1, 2, 3, 4, 5, 11} {
+		w.run(n, true, 1, 2, 3)
+	}
+	w.eventually("the first configuration is acknowledged", func() bool {
+		status, _ := w.control(2, "PUT", "0", config(3, "s1"))
+		return status == 200
+	})
+	if v := w.nodes["2"].hut.state().Voters; len(v) != 5 {
+		t.Fatalf("acknowledged with %d voters", len(v))
+	}
+	if st, _ := w.control(4, "PUT", "3", config(4, "s1")); st != 200 {
+		t.Fatal(st)
+	}
+	w.eventually("the front serves", func() bool { r, _, _ := w.ask(11, "GET", "/p/x", ""); return r.StatusCode == 200 })
+	for n := 1; n <= 5; n++ {
+		w.stop(fmt.Sprint(n))
+	}
+	w.dirs["hut-1"], w.dirs["hut-4"] = t.TempDir(), t.TempDir()
+	for n := 1; n <= 5; n++ {
+		w.run(n, false, 1, 2, 3)
+	}
+	w.eventually("what was acknowledged is read back", func() bool {
+		st, body := w.control(1, "GET", "", "")
+		return st == 200 && body == config(4, "s1")
+	})
+	w.eventually("the empty disks vote under new identities", func() bool {
+		st := w.nodes["3"].hut.state()
+		return st.Votes(w.nodes["1"].hut.acc.ID) && st.Votes(w.nodes["4"].hut.acc.ID) && len(st.Voters) == 5
+	})
+	// Each holder of the duty in turn is killed and back at once; what drains
+	// in that moment is noticed all the same.
+	for i := 0; i < 3; i++ {
+		holder := 0
+		w.eventually("somebody polls", func() bool {
+			for n := 1; n <= 5; n++ {
+				if h := w.nodes[fmt.Sprint(n)].hut; h.status().Polling {
+					holder = n
+					return true
+				}
+			}
+			return false
+		})
+		before := w.nodes[fmt.Sprint(holder)].hut.status().Epoch
+		w.stop(fmt.Sprint(holder))
+		state := "draining"
+		if i%2 == 1 {
+			state = "ready"
+			w.mu.Lock()
+			delete(w.list, "plain-a")
+			w.mu.Unlock()
+		}
+		w.mark("plain-a", state)
+		w.run(holder, false, 1, 2, 3)
+		w.eventually("a new epoch is taken", func() bool { return w.nodes["3"].hut.status().Epoch > before })
+		time.Sleep(800 * time.Millisecond) // DrainMs
+		ran := s.ran()
+		for k := 0; k < 6; k++ {
+			if r, _, _ := w.ask(11, "GET", "/p/x", ""); r.StatusCode != 200 {
+				t.Fatalf("with one searcher draining: %d", r.StatusCode)
+			}
+		}
+		if s.ran() != ran {
+			t.Fatal("a leaving went unnoticed")
+		}
+	}
+}
+
 // Shards without a searcher near front 11 are gathered by front 12, where they are.
 func TestAcross(t *testing.T) {
 	w, s := start(t)
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -17,6 +17,7 @@
 	pathJoin    = "/rope/join"
 	pathWatch   = "/rope/watch"
 	pathShuffle = "/rope/shuffle"
+	pathRoll    = "/rope/roll"
 	pathPeek    = "/rope/peek"
 	pathSaddle  = "/rope/saddle"
 	pathStatus  = "/rope/status"
@@ -56,7 +57,25 @@
 	Epoch   int64
 	Holder  string
 	Stamp   hutbook.Stamp
+	Zone    string
 	Leaving bool `json:",omitempty"`
+	// Unfit: the node's disk takes nothing; it can't have a duty.
+	Unfit bool `json:",omitempty"`
+	// Roll is the state of the list of fronts that watch this hut first; who
+	// lacks that asks for the list.
+	Roll int64
+}
+
+// roll lists the fronts that watch a hut before others.
+type roll struct {
+	Roll   int64
+	Fronts []saddle.Front `json:",omitempty"`
+}
+
+// hutAt is a hut and its place.
+type hutAt struct {
+	IP   string
+	Zone string `json:",omitempty"`
 }
 
 type joinAsk struct {
@@ -81,19 +100,38 @@
 	Out int `json:",omitempty"`
 	// HoldMs is how long the front lets the hut hold the call.
 	HoldMs int64
+	// Version and Purge are the newest that the node holds; a Purge below 0
+	// asks for the last purge's number alone.
+	Version int64
+	Purge   int64
 	// Brief: the table itself is not wanted, only word of it.
 	Brief bool `json:",omitempty"`
+	// First: the node watches this hut before others, and is on its roll.
+	First bool `json:",omitempty"`
+	// Larder: the node serves no clients, it keeps copies.
+	Larder bool `json:",omitempty"`
+	// Roster: the node wants to know some fronts of each zone.
+	Roster bool `json:",omitempty"`
 }
 
 type watchSay struct {
-	Zone   string
-	Slot   int64
-	Stamp  hutbook.Stamp
+	Zone    string
+	Slot    int64
+	Version int64
+	Stamp   hutbook.Stamp
+	// Table is the table whole, Delta what changed since the one held.
 	Table  *hutbook.Table `json:",omitempty"`
+	Delta  *hutbook.Delta `json:",omitempty"`
 	Fronts int
-	Huts   []string
-	// Roster lists the fronts that are ready; brief answers lack it.
+	Huts   []hutAt
+	// Roster lists some fronts of each zone that are ready.
 	Roster []saddle.Front `json:",omitempty"`
+	// Purge is the last purge's number, Floor the last that nobody holds any
+	// more; Purges are those that the asker lacks.
+	Purge   int64          `json:",omitempty"`
+	Floor   int64          `json:",omitempty"`
+	Purges  []cairn.Purge  `json:",omitempty"`
+	Larders []cairn.Larder `json:",omitempty"`
 }
 
 type shuffle struct {
--- a/internal/lodge/standin_test.go
+++ b/internal/lodge/standin_test.go
@@ -96,8 +96,10 @@
 	platform *httptest.Server
 	nodes    map[string]*Node
 	dirs     map[string]string
-	port     int
-	net      string
+	// losses is how many machines may be lost at once.
+	losses int
+	port   int
+	net    string
 }
 
 var townNumber = byte(10)
@@ -184,10 +186,10 @@
 	for _, s := range seeds {
 		l = append(l, fmt.Sprintf("%q", w.ip(s)+":8090"))
 	}
-	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: %s, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: 300,
+	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: %s, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: 300, ToleratedLosses: {Machines: %d},
  ListenAddresses: {%s},
  Bounds: {InTouchMs: 1000, AcknowledgeMs: 2500, CatchUpS: 1, DrainMs: 800, GraceS: 1, ConfigEffectMs: 1000, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100}, CloudApi: {Address: %q}}`,
-		n, w.ip(n), zone, serves, w.port, w.port+10, strings.Join(l, ","), first, data, strings.ReplaceAll(listen, "\n", ","), w.platform.Listener.Addr().String())
+		n, w.ip(n), zone, serves, w.port, w.port+10, strings.Join(l, ","), first, data, w.losses, strings.ReplaceAll(listen, "\n", ","), w.platform.Listener.Addr().String())
 	s, err := signpost.ParseSettings([]byte(text))
 	if err != nil {
 		w.t.Fatalf("settings: %v\n%s", err, text)
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -1,8 +1,10 @@
 package lodge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -52,7 +54,7 @@
 
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Slots: 2, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
+	return Options{Slots: 4, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
 }
 
 // trail is the part of a node that serves clients. Its tables belong to one desk.
@@ -67,26 +69,39 @@
 	pool   *ants.Pool
 	choice *saddle.Choice
 	ready  atomic.Bool
+	// larder: the node serves no clients, it keeps copies.
+	larder bool
 
 	// Owned by the desk.
 	board   *switchback.Board
 	maps    map[int64]*fork.Map
-	slot    int64
 	table   *hutbook.Table
-	huts    []string
+	huts    []hutAt
 	watched map[string]bool
-	counts  map[string]int
-	nodes   int
-	// heldSlot mirrors slot, stamp the table's stamp, for the watchers.
-	heldSlot atomic.Int64
-	stamp    atomic.Pointer[hutbook.Stamp]
+	// picked are the huts that this node watches, the first before the
+	// others; bad are those that did not answer, until when.
+	picked []string
+	bad    map[string]time.Duration
+	counts map[string]int
+	nodes  int
+	// held is what the watchers tell the huts that this node holds.
+	held     atomic.Pointer[holds]
 	fetching atomic.Bool
 
+	// rosterAt is when the node last asked for other fronts.
+	rosterAt atomic.Int64
+
 	ln atomic.Pointer[net.Listener]
 	// def are the limits for clients where the operator gives none.
 	def fork.Limits
 }
 
+// holds is what a node has of all that the huts tell; it is never changed.
+type holds struct {
+	slot, version, purge int64
+	stamp                hutbook.Stamp
+}
+
 func newTrail(n *Node, opt Options) (*trail, error) {
 	s := n.set()
 	b := s.Bounds
@@ -94,10 +109,10 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &trail{n: n, opt: opt, desk: newDesk(), pool: pool, maps: map[int64]*fork.Map{}, watched: map[string]bool{}, counts: map[string]int{}}
+	t := &trail{n: n, opt: opt, desk: newDesk(), pool: pool, maps: map[int64]*fork.Map{}, watched: map[string]bool{}, bad: map[string]time.Duration{}, counts: map[string]int{}}
 	t.def = fork.Limits{Header: 16 << 10, Body: 1 << 20, HeaderTimeout: signpost.Ms(b.InTouchMs, 1), Idle: signpost.Ms(b.InTouchMs, 3)}
 	t.rng = traverse.New(traverse.Options{
-		Zone: s.Zone, UserTimeout: n.userTimeout(), DialWithin: signpost.Ms(b.InTouchMs, 0.125), MaxBody: n.maxMessage(),
+		Distance: n.distance, UserTimeout: n.userTimeout(), DialWithin: signpost.Ms(b.InTouchMs, 0.125), MaxBody: n.maxMessage(),
 		KeepIdle: signpost.Ms(b.InTouchMs, 1), FailsOut: 3, OutFor: signpost.Ms(b.InTouchMs, 0.2),
 		FarPenalty: opt.FarPenalty, Forget: signpost.Ms(b.InTouchMs, 0.75),
 	})
@@ -113,9 +128,9 @@
 		})
 	}
 	t.board = switchback.New(switchback.Options{
-		R: opt.Slots, Lease: n.heartbeat(opt.LeaseBeats), Wait: signpost.Ms(b.ConfigEffectMs, opt.SwitchWait),
+		R: opt.Slots, Least: 2, Lease: n.heartbeat(opt.LeaseBeats), Wait: signpost.Ms(b.ConfigEffectMs, opt.SwitchWait),
 	})
-	t.stamp.Store(&hutbook.Stamp{})
+	t.held.Store(&holds{slot: -1, purge: -1})
 	t.rng.Full = func(id string) {
 		t.desk.post(func() { t.board.Answered(id, n.steady()); t.tick() })
 	}
@@ -127,8 +142,10 @@
 
 func (t *trail) start() {
 	t.desk.ask(func() {
-		t.huts = t.n.set().SeedIPs()
-		t.watchAll()
+		for _, ip := range t.n.set().SeedIPs() {
+			t.huts = append(t.huts, hutAt{IP: ip})
+		}
+		t.pick()
 	})
 	t.open()
 	go t.serveReadiness()
@@ -136,21 +153,62 @@
 }
 
 func (t *trail) hutIPs() (out []string) {
-	t.desk.ask(func() { out = slices.Clone(t.huts) })
+	t.desk.ask(func() {
+		for _, h := range t.huts {
+			out = append(out, h.IP)
+		}
+	})
 	return out
 }
 
-// watchAll starts a watcher for each known hut; it runs on the desk.
-func (t *trail) watchAll() {
-	for _, ip := range t.huts {
-		if !t.watched[ip] {
-			t.watched[ip] = true
-			go t.watch(ip)
+// distance tells how far a zone is: this node's own, its region, or beyond.
+func (n *Node) distance(zone string) int {
+	s := n.set()
+	if zone == s.Zone {
+		return 0
+	}
+	if region, known := s.Zones[zone]; known && region == s.Region {
+		return 1
+	}
+	return 2
+}
+
+// pick chooses the huts to watch: one more than may be lost at once, the
+// nearest first, those that did not answer lately last. However many fronts
+// and huts there are, a front holds that many calls. It runs on the desk.
+func (t *trail) pick() {
+	n, now := t.n, t.n.steady()
+	order := slices.Clone(t.huts)
+	rank := func(h hutAt) (int, int, uint64) {
+		bad := 0
+		if now < t.bad[h.IP] {
+			bad = 1
+		}
+		f := fnv.New64a()
+		_, _ = f.Write([]byte(n.set().NodeName + " " + h.IP))
+		return bad, n.distance(h.Zone), f.Sum64()
+	}
+	slices.SortFunc(order, func(a, b hutAt) int {
+		ab, ad, ah := rank(a)
+		bb, bd, bh := rank(b)
+		return cmp.Or(cmp.Compare(ab, bb), cmp.Compare(ad, bd), cmp.Compare(ah, bh))
+	})
+	most := max(2, int(n.set().ToleratedLosses.GetMachines())+1)
+	if t.board.LastBuilt == 0 {
+		// At the start whoever answers first will do.
+		most = len(order)
+	}
+	t.picked = nil
+	for _, h := range order[:min(most, len(order))] {
+		t.picked = append(t.picked, h.IP)
+		if !t.watched[h.IP] {
+			t.watched[h.IP] = true
+			go t.watch(h.IP)
 		}
 	}
 }
 
-// watch keeps asking one hut for news, as long as it is one of the huts.
+// watch keeps asking one hut for news, as long as it is one of those picked.
 func (t *trail) watch(ip string) {
 	n := t.n
 	brief := false
@@ -162,23 +220,35 @@
 			return
 		default:
 		}
-		ask := watchAsk{Name: n.set().NodeName, IP: n.set().IpAddress, Slot: t.heldSlot.Load(), Stamp: *t.stamp.Load(), Brief: brief, Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out(), HoldMs: hold.Milliseconds()}
+		stay, first := false, false
+		t.desk.ask(func() {
+			at := slices.Index(t.picked, ip)
+			if stay, first = at >= 0, at == 0; !stay {
+				delete(t.watched, ip)
+				delete(t.counts, ip)
+			}
+		})
+		if !stay {
+			return
+		}
+		h := t.held.Load()
+		ask := watchAsk{
+			Name: n.set().NodeName, IP: n.set().IpAddress, Slot: h.slot, Version: h.version, Purge: h.purge, Stamp: h.stamp, Brief: brief && !first,
+			Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out(), HoldMs: hold.Milliseconds(),
+			First: first, Larder: t.larder, Roster: first && t.rosterDue(),
+		}
 		var say watchSay
 		err := n.call.Ask(n.set().RopeAddr(ip), pathWatch, ask, &say, hold+n.heartbeat(0.8))
 		if err != nil {
 			fails++
 			hold = n.heartbeat(1)
-			keep := true
 			t.desk.ask(func() {
 				delete(t.counts, ip)
-				if fails > 4 && !slices.Contains(t.huts, ip) && !slices.Contains(n.set().SeedIPs(), ip) {
-					keep = false
-					delete(t.watched, ip)
+				if fails >= 2 {
+					t.bad[ip] = n.steady() + n.heartbeat(4)
+					t.pick()
 				}
 			})
-			if !keep {
-				return
-			}
 			// A hut that starts together with this node is there in a moment.
 			time.Sleep(time.Duration(float64(min(n.heartbeat(0.02)<<min(fails, 4), n.heartbeat(0.25))) * (0.5 + rand.Float64())))
 			if fails > 2 {
@@ -187,17 +257,16 @@
 			continue
 		}
 		fails = 0
-		near := say.Zone == n.set().Zone
 		t.desk.ask(func() { t.news(ip, say) })
-		behind := func() bool { return t.stamp.Load().Less(say.Stamp) }
-		late := func() bool { return t.heldSlot.Load() < say.Slot }
-		if !near && (behind() || late()) {
-			// The hut close by brings it cheaper, if it is there.
+		behind := func() bool { return t.held.Load().stamp.Less(say.Stamp) }
+		late := func() bool { return t.held.Load().version < say.Version }
+		if !first && (behind() || late()) {
+			// The hut watched first brings it cheaper, if it is there.
 			time.Sleep(n.heartbeat(0.05))
 		}
-		brief = !near && !behind()
-		// A hut in another zone is asked for news only: it may hold the call for longer.
-		if hold = n.heartbeat(1); !near {
+		brief = !behind()
+		// The others are asked for news only: they may hold the call for longer.
+		if hold = n.heartbeat(1); !first {
 			hold = n.heartbeat(3)
 		}
 		for i := 0; late() && i < 20; i++ {
@@ -209,6 +278,12 @@
 	}
 }
 
+// rosterDue tells whether it is time to ask for other fronts.
+func (t *trail) rosterDue() bool {
+	last := time.Duration(t.rosterAt.Load())
+	return last == 0 || t.n.steady()-last > t.n.heartbeat(2)
+}
+
 // more looks for huts in the view when those known don't answer.
 func (t *trail) more() {
 	var found []string
@@ -216,26 +291,30 @@
 	found = append(found, t.n.set().SeedIPs()...)
 	t.desk.ask(func() {
 		for _, ip := range found {
-			if !t.watched[ip] && len(t.watched) < 12 {
-				t.watched[ip] = true
-				go t.watch(ip)
+			if len(t.huts) < 12 && !slices.ContainsFunc(t.huts, func(h hutAt) bool { return h.IP == ip }) {
+				t.huts = append(t.huts, hutAt{IP: ip})
 			}
 		}
+		t.pick()
 	})
 }
 
 // news takes what a hut said; it runs on the desk.
 func (t *trail) news(ip string, say watchSay) {
-	if len(say.Huts) > 0 {
+	if len(say.Huts) > 0 && say.Slot >= t.held.Load().slot {
 		t.huts = say.Huts
-		t.watchAll()
+		t.pick()
 		for _, h := range say.Huts {
-			t.n.view.post(func() { t.n.way.Add(waymark.Node{Name: "hut-" + h, IP: h, Hut: true}) })
+			t.n.view.post(func() { t.n.way.Add(waymark.Node{Name: "hut-" + h.IP, IP: h.IP, Zone: h.Zone, Hut: true}) })
 		}
 	}
-	if say.Roster != nil && t.choice != nil {
-		t.choice.Set(say.Roster, t.n.set().NodeName)
+	if say.Roster != nil {
+		t.rosterAt.Store(int64(t.n.steady()))
+		if t.choice != nil {
+			t.choice.Set(say.Roster, t.n.set().NodeName)
+		}
 	}
+	delete(t.bad, ip)
 	t.counts[ip] = say.Fronts
 	most := 1
 	for _, c := range t.counts {
@@ -246,15 +325,29 @@
 		t.ledger.SetNodes(most)
 		t.rng.SetShare(most)
 	}
+	if say.Delta != nil {
+		say.Table = t.table.Follow(say.Delta)
+	}
 	if say.Table != nil && (t.table == nil || t.table.Stamp.Less(say.Table.Stamp)) {
 		t.table = say.Table
-		st := say.Table.Stamp
-		t.stamp.Store(&st)
+		t.hold(func(h *holds) { h.stamp = say.Table.Stamp })
 		t.rng.SetTable(t.table)
 		t.board.Listed(t.table, t.n.steady())
 		t.tick()
 		t.publish()
 	}
+	t.hold(func(h *holds) {
+		if say.Version <= h.version {
+			h.slot = max(h.slot, say.Slot)
+		}
+	})
+}
+
+// hold changes what this node tells that it holds; it runs on the desk.
+func (t *trail) hold(change func(h *holds)) {
+	h := *t.held.Load()
+	change(&h)
+	t.held.Store(&h)
 }
 
 // fetch brings the newest configuration from a hut.
@@ -276,17 +369,13 @@
 }
 
 // take puts decided state in its place; it runs on the desk. A node never
-// goes back to an older slot.
+// goes back to an older version.
 func (t *trail) take(say stateSay, on time.Duration) {
-	if say.State.Slot <= t.slot {
-		return
-	}
-	t.slot = say.State.Slot
-	defer func() { t.heldSlot.Store(t.slot) }()
 	v := say.State.Version
 	if v <= t.board.LastBuilt {
 		return
 	}
+	defer t.hold(func(h *holds) { h.version, h.slot = v, max(h.slot, say.State.Slot) })
 	c, err := signpost.ParseConfiguration([]byte(say.State.Body))
 	if err != nil {
 		logbook.Log(logbook.MessageRefused, "from", "hut", "err", err)
@@ -432,7 +521,7 @@
 func (t *trail) status() *TrailStatus {
 	st := &TrailStatus{Ready: t.ready.Load(), Busy: t.head.Busy(), Helped: t.head.Lent(), Slots: map[string][]string{}}
 	t.desk.ask(func() {
-		st.Slot, st.LastBuilt, st.Current, st.Fronts = t.slot, t.board.LastBuilt, t.board.Current.Version, t.nodes
+		st.Slot, st.LastBuilt, st.Current, st.Fronts = t.held.Load().slot, t.board.LastBuilt, t.board.Current.Version, t.nodes
 		if t.board.Next != nil {
 			st.Next = t.board.Next.Version
 		}
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -44,6 +44,7 @@
 	ListFailed  Event = 4003
 	ListChanged Event = 4004
 	TableOld    Event = 4005
+	DutyUnfit   Event = 4006
 
 	CutNext     Event = 5001
 	CutSwitched Event = 5002
@@ -94,6 +95,7 @@
 	{ListFailed, "list-failed", "warn", "The platform's list could not be read; the last one stays."},
 	{ListChanged, "list-changed", "info", "Searchers came, went or drain."},
 	{TableOld, "table-old", "info", "A table from a lower epoch was refused."},
+	{DutyUnfit, "duty-unfit", "warn", "This node's disk did not take the duty's epoch; another node does the duty for a while."},
 	{CutNext, "cut-next", "info", "A version with another cut is next; its searchers are being readied."},
 	{CutSwitched, "cut-switched", "info", "The cut in force changed; ready says whether all slots were ready."},
 	{SlotFreed, "slot-freed", "info", "A searcher lost its slot; a standby may take it."},
--- a/internal/saddle/saddle.go
+++ b/internal/saddle/saddle.go
@@ -30,6 +30,8 @@
 	Name string
 	IP   string
 	Zone string
+	// Out: it is not ready to help.
+	Out bool `json:",omitempty"`
 }
 
 // Choice picks fronts, leaving out those that failed lately.
--- a/internal/switchback/switchback.go
+++ b/internal/switchback/switchback.go
@@ -11,6 +11,8 @@
 type Options struct {
 	// R is how many searchers hold a slot of one shard at most.
 	R int
+	// Least is how many loaded holders a shard wants where fewer than R searchers are there.
+	Least int
 	// Lease is how long a slot is held without a sign of life from its holder.
 	Lease time.Duration
 	// Wait is how long, after a cut was chosen, the old one may serve on.
@@ -153,16 +155,24 @@
 	return true, ready
 }
 
-// Ready tells whether every shard of a cut has R holders that are loaded.
+// Ready tells whether every shard of a cut has R holders that are loaded, or
+// as many as there are searchers, Least at any rate.
 func (b *Board) Ready(c Cut) bool {
 	for _, shard := range c.Shards {
+		there := 0
+		for _, s := range b.listed[shard] {
+			if !s.Drains {
+				there++
+			}
+		}
+		want := min(b.opt.R, max(b.opt.Least, there))
 		n := 0
 		for _, s := range b.slots[shard] {
 			if s.Full {
 				n++
 			}
 		}
-		if n < b.opt.R {
+		if n < want {
 			return false
 		}
 	}
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -18,7 +18,8 @@
 
 // Options are ratios and bounds; none is tied to a deployment.
 type Options struct {
-	Zone        string
+	// Distance tells how far a zone is: 0 here, 1 in this region, 2 beyond.
+	Distance    func(zone string) int
 	UserTimeout time.Duration
 	DialWithin  time.Duration
 	MaxBody     int
@@ -27,7 +28,8 @@
 	// FailsOut consecutive failures leave a searcher out for OutFor, longer each time.
 	FailsOut int
 	OutFor   time.Duration
-	// FarPenalty is added, as a part of the target, to the score of a searcher in another zone.
+	// FarPenalty is added, as a part of the target, to the score of a searcher
+	// in another region; half of it to that of one in another zone of this.
 	FarPenalty float64
 	// Forget is how long a measured latency keeps its weight without new ones.
 	Forget time.Duration
@@ -86,7 +88,7 @@
 // Peer is one searcher as this node sees it.
 type Peer struct {
 	hutbook.Searcher
-	near bool
+	far int
 
 	inflight []time.Time
 	idle     []*rope.Conn
@@ -183,7 +185,7 @@
 		seen[s.ID] = true
 		p := g.peers[s.ID]
 		if p == nil {
-			p = &Peer{Searcher: s, near: s.Zone == g.opt.Zone}
+			p = &Peer{Searcher: s, far: g.opt.Distance(s.Zone)}
 			g.peers[s.ID] = p
 		}
 		// The rest never changes in one life, and is read without the lock.
@@ -276,9 +278,7 @@
 	if p.Cold {
 		s += lat * 0.6
 	}
-	if !p.near {
-		s += g.opt.FarPenalty * ms(target)
-	}
+	s += g.opt.FarPenalty * ms(target) * float64(p.far) / 2
 	if len(p.inflight) > 0 {
 		// Somebody who keeps a request for long is not as fast as its past.
 		if age := ms(now.Sub(p.inflight[0])); age > 2*lat {
@@ -579,8 +579,11 @@
 	}
 }
 
+// Distance tells how far a zone is from this node.
+func (g *Range) Distance(zone string) int { return g.opt.Distance(zone) }
+
 // Near tells whether the searcher is in this node's zone.
-func (p *Peer) Near() bool { return p.near }
+func (p *Peer) Near() bool { return p.far == 0 }
 
 // usable tells whether a searcher may be asked now.
 func (g *Range) usable(p *Peer, holders []string, now time.Time) bool {
--- a/internal/traverse/traverse_test.go
+++ b/internal/traverse/traverse_test.go
@@ -58,7 +58,12 @@
 }
 
 func TestChoice(t *testing.T) {
-	g := New(Options{Zone: "near", FailsOut: 3, OutFor: time.Second, FarPenalty: 0.15, Forget: 3 * time.Second})
+	g := New(Options{Distance: func(z string) int {
+		if z == "near" {
+			return 0
+		}
+		return 2
+	}, FailsOut: 3, OutFor: time.Second, FarPenalty: 0.15, Forget: 3 * time.Second})
 	tab, _ := hutbook.Next(nil, []hutbook.Searcher{
 		{ID: "a", Service: "s", Zone: "near", Slots: 2}, {ID: "b", Service: "s", Zone: "far", Slots: 2},
 		{ID: "d", Service: "s", Zone: "near", Slots: 2, Drains: true}, {ID: "o", Service: "other", Zone: "near"},
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -13,6 +13,11 @@
 	heard map[string]time.Duration
 	down  time.Duration
 	since time.Duration
+	// mine: the epoch held was taken in this life. One that an earlier life
+	// took is worth nothing: its reports may be newer than what this life knows.
+	mine bool
+	// unfit, until then, this node can't keep an epoch and leaves the duty to others.
+	unfit time.Duration
 }
 
 // New makes a duty; a node not heard for down counts as not live.
@@ -34,7 +39,7 @@
 // See notes an epoch. Of two holders of one epoch the greater name counts.
 func (d *Duty) See(epoch int64, holder string) {
 	if epoch > d.Epoch || epoch == d.Epoch && holder > d.Holder {
-		d.Epoch, d.Holder = epoch, holder
+		d.Epoch, d.Holder, d.mine = epoch, holder, false
 	}
 }
 
@@ -61,6 +66,16 @@
 	return now - d.since
 }
 
+// others tells whether any other node that may have the duty lives.
+func (d *Duty) others(now time.Duration) bool {
+	for _, id := range d.order {
+		if id != d.Self && d.Live(id, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // First is the first live node in the order.
 func (d *Duty) First(now time.Duration) string {
 	for _, id := range d.order {
@@ -71,9 +86,21 @@
 	return ""
 }
 
+// Unfit passes the duty on until then: the epoch could not be kept on disk.
+func (d *Duty) Unfit(until time.Duration) { d.mine, d.unfit = false, until }
+
+// Fit tells whether this node may have the duty.
+func (d *Duty) Fit(now time.Duration) bool { return now >= d.unfit }
+
+// Holds tells whether this node took the present epoch in this life.
+func (d *Duty) Holds() bool { return d.mine && d.Holder == d.Self }
+
+// Alone tells whether nobody else could have the duty.
+func (d *Duty) Alone(now time.Duration) bool { return !d.others(now) }
+
 // Mine tells whether this node has the duty, taking it under the next epoch
-// where it is first and another (or nobody) held it. Right after the start a
-// node waits long enough to hear of those before it.
+// where it is first and did not take the present one in this life. Right
+// after the start a node waits long enough to hear of those before it.
 func (d *Duty) Mine(now time.Duration) (mine, taken bool) {
 	if d.First(now) != d.Self || len(d.order) == 0 {
 		return false, false
@@ -81,9 +108,12 @@
 	if d.order[0] != d.Self && now-d.since < d.down {
 		return false, false
 	}
-	if d.Holder == d.Self && d.Epoch > 0 {
+	if !d.Fit(now) && !d.Alone(now) {
+		return false, false
+	}
+	if d.Holds() {
 		return true, false
 	}
-	d.Epoch, d.Holder = d.Epoch+1, d.Self
+	d.Epoch, d.Holder, d.mine = d.Epoch+1, d.Self, true
 	return true, true
 }
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -51,6 +51,45 @@
 	}
 }
 
+// A holder that was killed and comes back at once, before anybody missed it,
+// reports under a new epoch: what its earlier life reported last may be newer
+// than what it finds on its disk.
+func TestEachLifeHasItsEpoch(t *testing.T) {
+	d := New("a", 4, s, 0)
+	d.SetOrder([]string{"a", "b"})
+	d.See(4, "a") // from disk
+	if d.Holds() {
+		t.Fatal("an earlier life's epoch is held")
+	}
+	if mine, taken := d.Mine(0); !mine || !taken || d.Epoch != 5 {
+		t.Fatalf("no new epoch: %d", d.Epoch)
+	}
+	// The disk does not take the epoch: another node has the duty for a while.
+	d.Hear("b", 4, "a", 0)
+	d.Unfit(3 * s)
+	if mine, _ := d.Mine(s / 2); mine || d.Holds() {
+		t.Fatal("an epoch that is not on disk is used")
+	}
+	b := New("b", 4, s, -9*s)
+	b.SetOrder([]string{"a", "b"})
+	b.Hear("a", 5, "a", 0)
+	b.Leave("a") // it said that it is not fit
+	if mine, taken := b.Mine(s / 2); !mine || !taken || b.Epoch != 6 {
+		t.Fatalf("the duty was not passed on: %d", b.Epoch)
+	}
+	d.Hear("b", 6, "b", 3*s)
+	if mine, taken := d.Mine(3 * s); !mine || !taken || d.Epoch != 7 {
+		t.Fatal("a node with a good disk again does not come back to its duty")
+	}
+	// Alone, a duty without a disk is better than none.
+	lone := New("x", 0, s, 0)
+	lone.SetOrder([]string{"x", "y"})
+	lone.Unfit(9 * s)
+	if mine, _ := lone.Mine(2 * s); !mine {
+		t.Fatal("nobody does the duty")
+	}
+}
+
 func TestWithoutVote(t *testing.T) {
 	d := New("x", 0, s, 0)
 	if mine, _ := d.Mine(9 * s); mine {
