--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -6,7 +6,9 @@
 	"io"
 	"os"
 	"runtime/pprof"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -52,8 +54,14 @@
 	var debug bool
 	c := &cobra.Command{
 		Use: "run", Short: "Run a node until SIGTERM", Args: cobra.MaximumNArgs(1),
-		Long: "Run a node as its settings file says. The argument, if any, is a name for the role and only shown.\nSIGHUP reads the settings again; SIGTERM leaves in order within GraceS.",
-		RunE: func(*cobra.Command, []string) error {
+		Long: "Run a node as its settings file says. The argument names the role. hut and trail follow from the settings: a node with a\ndisk keeps state, one that serves front takes clients. larder makes a node with a disk keep\ncopies of objects instead of state.\nSIGHUP reads the settings again; SIGTERM leaves in order within GraceS.",
+		RunE: func(_ *cobra.Command, a []string) error {
+			if len(a) > 0 {
+				if !slices.Contains(lodge.Roles, a[0]) {
+					return exit{exitBad, fmt.Errorf("there is no role %q; roles: %s", a[0], strings.Join(lodge.Roles, ", "))}
+				}
+				opt.Role = a[0]
+			}
 			logbook.SetDebug(debug)
 			if opt.Slots < 1 || opt.SwitchWait < 0 || opt.SwitchWait > 0.8 {
 				return exit{exitBad, fmt.Errorf("--slots must be at least 1 and --switch-wait between 0 and 0.8")}
@@ -79,6 +87,8 @@
 	f.StringVar(&dir, "data", "", "data directory in place of the settings' DataDirectory")
 	f.StringVar(&profile, "cpu-profile", "", "write a processor profile to this file at the end")
 	f.BoolVar(&debug, "debug", false, "log events of level debug too")
+	f.Float64Var(&opt.Shelf, "shelf", opt.Shelf, "part of MemoryMb that a front's own copies may take")
+	f.Float64Var(&opt.LarderShelf, "larder-shelf", opt.LarderShelf, "part of MemoryMb that a larder's copies may take")
 	f.IntVar(&opt.Slots, "slots", opt.Slots, "R: searchers that hold a slot of one shard at most")
 	f.Float64Var(&opt.SwitchWait, "switch-wait", opt.SwitchWait, "part of ConfigEffectMs for which an old cut may serve on")
 	f.Float64Var(&opt.LeaseBeats, "lease-beats", opt.LeaseBeats, "a slot's lease, in heartbeats")
--- a/internal/fork/fork.go
+++ b/internal/fork/fork.go
@@ -21,6 +21,9 @@
 	Gathered []string
 	Top      int
 	Share    float64
+	// Cached: answers may be kept for Lifetime, if that is above 0.
+	Cached   bool
+	Lifetime time.Duration
 	split    []weighted
 }
 
@@ -66,8 +69,9 @@
 	}
 	for _, r := range c.Routes {
 		x := &Route{
-			Name: r.Name, Prefix: r.PathPrefix, Safe: r.RouteKind == signpost.KindSafe,
-			Timeout: signpost.Ms(r.TimeoutMs, 1), Target: signpost.Ms(r.TargetLatencyMs, 1),
+			Name: r.Name, Prefix: r.PathPrefix, Safe: r.RouteKind != signpost.KindUnsafe, Cached: r.RouteKind == signpost.KindCached,
+			Lifetime: signpost.Sec(r.CacheLifetimeS, 1),
+			Timeout:  signpost.Ms(r.TimeoutMs, 1), Target: signpost.Ms(r.TargetLatencyMs, 1),
 			Attempts: max(1, int(r.Attempts)), Priority: int(r.Priority),
 			Gathered: r.GatheredServices, Top: int(r.TopRecords), Share: r.MinimumShare,
 		}
@@ -134,6 +138,16 @@
 	return nil
 }
 
+// Sends tells whether requests on the route may go to a service.
+func (r *Route) Sends(service string) bool {
+	for _, w := range r.split {
+		if w.service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Pick names the service for a point in [0, 1).
 func (r *Route) Pick(point float64) string {
 	for _, w := range r.split {
--- /dev/null
+++ b/internal/larder/notices.go
@@ -0,0 +1,81 @@
+package larder
+
+import "strings"
+
+// Purge is one notice: an object by host and path, or a tag.
+type Purge struct {
+	N               int64
+	Host, Path, Tag string
+}
+
+// Notices is what a node knows of the purges: the number of the last one, and
+// for each name the last that named it. Purges up to Floor are known to nobody
+// any more; what was fetched before them is not to be trusted.
+type Notices struct {
+	Seq, Floor int64
+	paths      map[string]int64
+	tags       map[string]int64
+}
+
+// NewNotices starts a node that holds no copies yet after purge seq.
+func NewNotices(seq int64) *Notices {
+	return &Notices{Seq: seq, Floor: seq, paths: map[string]int64{}, tags: map[string]int64{}}
+}
+
+// Take adds the purges up to seq; floor is the last that the teller no longer
+// holds. Where purges were missed, only the floor tells of them.
+func (n *Notices) Take(seq, floor int64, list []Purge) {
+	if seq <= n.Seq {
+		return
+	}
+	for _, p := range list {
+		if p.N <= n.Seq || p.N > seq {
+			continue
+		}
+		if p.Tag != "" {
+			n.tags[p.Tag] = p.N
+		} else {
+			n.paths[Key(p.Host, p.Path)] = p.N
+		}
+	}
+	if floor > n.Seq {
+		n.Floor = floor
+	}
+	n.Seq = seq
+}
+
+// Forget drops the notices up to N, with everything fetched before: where the
+// index grows beyond bounds, copies pay for it.
+func (n *Notices) Forget(most int) {
+	if len(n.paths)+len(n.tags) <= most {
+		return
+	}
+	n.Floor = n.Seq
+	clear(n.paths)
+	clear(n.tags)
+}
+
+// Kills tells whether a later purge, or one that is no longer known, ended the copy.
+func (n *Notices) Kills(c *Copy) bool {
+	if c.Known < n.Floor {
+		return true
+	}
+	if c.Known >= n.Seq {
+		return false
+	}
+	for _, t := range c.Tags {
+		if n.tags[t] > c.Known {
+			return true
+		}
+	}
+	return n.Named(c.Host, c.Target) > c.Known
+}
+
+// Named is the last purge that named the object by its path.
+func (n *Notices) Named(host, target string) int64 {
+	last := n.paths[Key(host, target)]
+	if path, _, query := strings.Cut(target, "?"); query {
+		last = max(last, n.paths[Key(host, path)])
+	}
+	return last
+}
--- /dev/null
+++ b/internal/lodge/bring.go
@@ -0,0 +1,179 @@
+package lodge
+
+import (
+	"cmp"
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"swiftswitch/internal/cairn"
+	"swiftswitch/internal/larder"
+	"swiftswitch/internal/signpost"
+	"swiftswitch/internal/trailhead"
+)
+
+// larders is what a node knows of those that keep copies; it is never changed.
+type larders struct {
+	list []cairn.Larder
+	// since is when this node came onto the list, in this life.
+	since time.Duration
+	first bool
+}
+
+// setLarders takes the agreed list; it runs on the desk.
+func (t *trail) setLarders(list []cairn.Larder) {
+	old := t.larders.Load()
+	now := &larders{list: list}
+	self := func(l cairn.Larder) bool { return l.IP == t.n.set().IpAddress }
+	if slices.ContainsFunc(list, self) {
+		if old == nil {
+			// It was on the list in an earlier life: nobody else has its part.
+			now.first = true
+		} else if slices.ContainsFunc(old.list, self) {
+			now.since, now.first = old.since, old.first
+		} else {
+			now.since = t.n.steady()
+		}
+	}
+	t.larders.Store(now)
+	if t.larder {
+		t.rng.SetShare(len(list))
+	}
+}
+
+// listed tells whether this node is one of the larders.
+func (t *trail) listed() (l *larders, ok bool) {
+	l = t.larders.Load()
+	if l == nil {
+		return nil, false
+	}
+	return l, slices.ContainsFunc(l.list, func(x cairn.Larder) bool { return x.IP == t.n.set().IpAddress })
+}
+
+// parts is this node's part of each service's ceiling; ok is false while it
+// must not fetch. A larder that came onto the list waits until the others have
+// heard of it and given up their part; one that no hut answers stops before
+// the huts count it as gone and the others take its part. Fronts fetch only
+// where there is no larder.
+func (t *trail) parts() (part float64, ok bool) {
+	l := t.larders.Load()
+	if l == nil {
+		return 0, false
+	}
+	now := t.n.steady()
+	if now-time.Duration(t.heardAt.Load()) > signpost.Sec(t.n.set().Bounds.CatchUpS, quietAt) {
+		return 0, false
+	}
+	if t.larder {
+		if _, on := t.listed(); !on || !l.first && now-l.since < t.n.heartbeat(2) {
+			return 0, false
+		}
+		return 1 / float64(len(l.list)), true
+	}
+	if len(l.list) > 0 || now < t.n.heartbeat(4) {
+		return 0, false
+	}
+	return sparing / float64(max(1, t.fronts.Load())), true
+}
+
+// Bring asks the larder that owns the object, or the next in line where that
+// one does not answer. Without any, the front fetches itself, sparingly.
+func (t *trail) Bring(w trailhead.Want) trailhead.Brought {
+	deadline := time.Now().Add(w.Left)
+	l := t.larders.Load()
+	if l == nil {
+		return trailhead.Brought{Status: 503, Back: t.n.heartbeat(0.2)}
+	}
+	if len(l.list) == 0 {
+		return t.bringSelf(w)
+	}
+	order := slices.Clone(l.list)
+	score := func(x cairn.Larder) uint64 {
+		f := fnv.New64a()
+		_, _ = f.Write([]byte(x.IP + "\n" + larder.Key(w.Host, w.Target)))
+		return f.Sum64() * 0x9E3779B97F4A7C15
+	}
+	slices.SortFunc(order, func(a, b cairn.Larder) int {
+		return cmp.Or(cmp.Compare(t.ways.Out(a.IP, time.Now()), t.ways.Out(b.IP, time.Now())), cmp.Compare(score(b), score(a)))
+	})
+	at := 0
+	for asked := 0; ; {
+		left := time.Until(deadline)
+		if left < time.Millisecond {
+			return trailhead.Brought{Status: 504}
+		}
+		if asked >= 2*len(order) {
+			return trailhead.Brought{Status: 503, Back: min(t.n.heartbeat(0.5), left/4)}
+		}
+		wait := min(left, max(w.Aim*3/4, t.n.heartbeat(0.2)))
+		to := order[at%len(order)]
+		got, err := t.askLarder(to, w, left, wait)
+		t.ways.Done(to.IP, err == nil, time.Now())
+		switch {
+		case err != nil || got.Status == statusClosed:
+			at++
+			asked++
+		case got.Status == 202 && got.Copy == nil:
+			// It is being fetched there; the wish counts once.
+			w.Weight = 0
+		default:
+			return got
+		}
+	}
+}
+
+func (t *trail) askLarder(to cairn.Larder, w trailhead.Want, left, wait time.Duration) (trailhead.Brought, error) {
+	a := larderAsk{Host: w.Host, Target: w.Target, Service: w.Service, Weight: w.Weight, Purge: t.pantry.Known(), LeftMs: left.Milliseconds(), WaitMs: wait.Milliseconds()}
+	body, err := json.Marshal(a)
+	if err != nil {
+		return trailhead.Brought{}, err
+	}
+	began := t.n.steady()
+	rep, err := t.n.call.Call(t.n.set().RopeAddr(to.IP), "POST", pathLarder, nil, body, min(left, wait+max(w.Aim/2, t.n.heartbeat(0.2))))
+	if err != nil {
+		return trailhead.Brought{}, err
+	}
+	var s larderSay
+	if err := json.Unmarshal([]byte(rep.Header(headerLarder)), &s); err != nil {
+		return trailhead.Brought{}, err
+	}
+	return brought(w, s, rep.Body, began), nil
+}
+
+// brought reads a larder's answer; began is when it was asked for, from which
+// the copy's age is counted on.
+func brought(w trailhead.Want, s larderSay, body []byte, began time.Duration) trailhead.Brought {
+	switch {
+	case s.Passed:
+		return trailhead.Brought{Passed: &larder.Passed{Status: s.Status, Fields: s.Fields, Body: body, Stamp: s.Stamp}}
+	case s.Status == 200:
+		return trailhead.Brought{Copy: &larder.Copy{
+			Host: w.Host, Target: w.Target, Service: w.Service, Fields: s.Fields, Body: body, ETag: s.ETag, Stamp: s.Stamp, Tags: s.Tags,
+			Born: began - time.Duration(s.AgeMs)*time.Millisecond, Known: s.Known,
+		}}
+	}
+	return trailhead.Brought{Status: s.Status, Back: time.Duration(s.BackMs) * time.Millisecond}
+}
+
+// bringSelf fetches where there is no larder.
+func (t *trail) bringSelf(w trailhead.Want) trailhead.Brought {
+	snap := t.head.Current()
+	if snap == nil {
+		return trailhead.Brought{Status: 503}
+	}
+	r := snap.Map.Match(w.Host, pathOnly(w.Target))
+	if r == nil {
+		return trailhead.Brought{Status: 503}
+	}
+	began := t.n.steady()
+	left := w.Left.Milliseconds()
+	s, body := t.kitchen.bring(larderAsk{Host: w.Host, Target: w.Target, Service: w.Service, Weight: w.Weight, LeftMs: left, WaitMs: left}, r.Lifetime, r.Sends)
+	switch s.Status {
+	case 202:
+		s.Status = 504
+	case statusClosed:
+		s.Status, s.BackMs = 503, min(t.n.heartbeat(0.5).Milliseconds(), left/4)
+	}
+	return brought(w, s, body, began)
+}
--- a/internal/lodge/duty.go
+++ b/internal/lodge/duty.go
@@ -46,6 +46,7 @@
 				wait = signpost.Ms(h.n.set().Bounds.DrainMs, 0.08)
 			}
 			h.poll()
+			h.strike()
 		}
 		select {
 		case <-h.n.stop:
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -50,6 +50,9 @@
 	rollN  int64
 	rolled string
 	rolls  map[string]rollSeen
+	// keepers are the larders, and when they were last heard.
+	keepers map[string]time.Duration
+	purges  chan *purgeWait
 	// known are the fronts that this hut or another heard, and when.
 	known map[string]time.Duration
 
@@ -119,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{}), rolls: map[string]rollSeen{}, known: map[string]time.Duration{}}
+	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{}), rolls: map[string]rollSeen{}, known: map[string]time.Duration{}, keepers: map[string]time.Duration{}, purges: make(chan *purgeWait, 1024)}
 	var rec ballotRecord
 	var body bodyRecord
 	var ep epochRecord
@@ -199,6 +202,7 @@
 	go h.beatLoop()
 	go h.dutyLoop()
 	go h.joinLoop()
+	go h.purgeLoop()
 }
 
 // setOrder follows the voters; it runs on the desk.
@@ -295,6 +299,16 @@
 			h.desk.ask(func() { h.merge(&t) })
 			rope.Answer(c, 200, struct{}{})
 		}
+	case pathEnlist:
+		var l cairn.Larder
+		if !rope.Read(c, &l) {
+			return true
+		}
+		if h.handleEnlist(l) {
+			rope.Answer(c, 200, struct{}{})
+		} else {
+			rope.Answer(c, 503, map[string]string{"Error": "not agreed"})
+		}
 	case pathRoll:
 		var r roll
 		h.desk.ask(func() { r = h.roll() })
@@ -565,8 +579,8 @@
 	now := h.n.steady()
 	r := roll{}
 	for name, f := range h.fronts {
-		if f.first && !f.larder && now < f.until {
-			r.Fronts = append(r.Fronts, saddle.Front{Name: name, IP: f.ip, Zone: f.zone, Out: !f.ready})
+		if f.first && now < f.until {
+			r.Fronts = append(r.Fronts, saddle.Front{Name: name, IP: f.ip, Zone: f.zone, Out: !f.ready, Keeps: f.larder})
 		}
 	}
 	slices.SortFunc(r.Fronts, func(a, b saddle.Front) int { return strings.Compare(a.Name, b.Name) })
@@ -607,7 +621,7 @@
 	out := []saddle.Front{}
 	for _, i := range rand.Perm(len(all)) {
 		f := all[i]
-		if !f.Out && f.Zone != but && !seen[f.Name] && count[f.Zone] < rosterMost {
+		if !f.Out && !f.Keeps && f.Zone != but && !seen[f.Name] && count[f.Zone] < rosterMost {
 			count[f.Zone]++
 			seen[f.Name] = true
 			out = append(out, f)
@@ -643,6 +657,9 @@
 	}
 	for ip, r := range h.rolls {
 		for _, f := range r.Fronts {
+			if f.Keeps {
+				continue
+			}
 			h.known[f.Name] = max(h.known[f.Name], h.others[ip].at)
 		}
 	}
@@ -701,7 +718,7 @@
 		return
 	}
 	body := string(c.Request.Body())
-	status, text := h.take(body, string(c.Request.Header.Peek("If-Match")))
+	status, text := h.take(string(c.Request.Header.Method()) == "PATCH", body, string(c.Request.Header.Peek("If-Match")))
 	if status == 200 {
 		rope.Answer(c, 200, map[string]int64{"Version": text.version})
 		return
@@ -715,28 +732,40 @@
 	why     string
 }
 
-// take settles a PUT.
-func (h *hut) take(body, match string) (int, taken) {
+// take settles a PUT, or a PATCH: that is merged here into a whole version,
+// on top of the one it builds on.
+func (h *hut) take(isPatch bool, body, match string) (int, taken) {
 	bounds := h.n.set().Bounds
 	until := time.Now().Add(signpost.Ms(bounds.AcknowledgeMs, 0.8))
-	conf, err := signpost.ParseConfiguration([]byte(body))
-	if err != nil {
-		return 400, taken{why: err.Error()}
+	var version int64
+	var patch *signpost.Patch
+	sum := cairn.Sum(body)
+	if isPatch {
+		p, err := signpost.ParsePatch([]byte(body))
+		if err != nil {
+			return 400, taken{why: err.Error()}
+		}
+		version, patch, sum = p.Version, p, cairn.Sum("PATCH\n"+body)
+	} else {
+		conf, err := signpost.ParseConfiguration([]byte(body))
+		if err != nil {
+			return 400, taken{why: err.Error()}
+		}
+		version = conf.Version
 	}
 	base, err := strconv.ParseInt(strings.Trim(strings.TrimPrefix(strings.TrimSpace(match), "W/"), "\""), 10, 64)
 	if err != nil || base < 0 {
 		return 400, taken{why: "If-Match must hold the version that this one builds on"}
 	}
-	version := conf.Version
 	if version <= base {
 		return 400, taken{why: "Version is not above the one it builds on"}
 	}
 	h.proposing.Lock()
 	defer h.proposing.Unlock()
-	own := &cairn.Value{Version: version, Base: base, Body: body}
+	own := &cairn.Value{Version: version, Base: base, Body: body, Sent: sum}
 	for try := 0; ; try++ {
 		s := h.state()
-		if s.Has(version, base, cairn.Sum(body)) {
+		if s.Has(version, base, sum) {
 			if !h.grown(until) {
 				return 503, taken{why: "too few nodes hold it yet"}
 			}
@@ -760,6 +789,16 @@
 			}
 			continue
 		}
+		if patch != nil {
+			whole, err := patch.Apply([]byte(s.Body))
+			if err == nil {
+				_, err = signpost.ParseConfiguration(whole)
+			}
+			if err != nil {
+				return 400, taken{why: err.Error()}
+			}
+			own.Body = string(whole)
+		}
 		if !h.round(s, own) {
 			if time.Now().After(until) {
 				return 503, taken{why: "no majority agreed in time"}
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -18,10 +18,13 @@
 	pathWatch   = "/rope/watch"
 	pathShuffle = "/rope/shuffle"
 	pathRoll    = "/rope/roll"
+	pathLarder  = "/rope/larder"
+	pathEnlist  = "/rope/enlist"
 	pathPeek    = "/rope/peek"
 	pathSaddle  = "/rope/saddle"
 	pathStatus  = "/rope/status"
 	pathConfig  = "/-/configuration"
+	pathPurge   = "/-/purge"
 )
 
 // learnAsk tells that a slot is decided: by a ballot whose value the
--- a/internal/lodge/node.go
+++ b/internal/lodge/node.go
@@ -33,6 +33,8 @@
 
 	hut   *hut
 	trail *trail
+	// kitchen: the node keeps copies for the fronts.
+	kitchen *kitchen
 }
 
 func (n *Node) set() *signpost.Settings { return n.settings.Load() }
@@ -76,14 +78,15 @@
 	n.settings.Store(s)
 	n.call = rope.NewClient(16, signpost.Ms(s.Bounds.InTouchMs, 1), n.userTimeout(), n.maxMessage())
 	n.view = newDesk()
-	n.way = waymark.New(waymark.Node{Name: s.NodeName, IP: s.IpAddress, Zone: s.Zone, Hut: s.HasDisk()}, 8, 3)
+	n.way = waymark.New(waymark.Node{Name: s.NodeName, IP: s.IpAddress, Zone: s.Zone, Hut: s.HasDisk() && options.Role != RoleLarder}, 8, 3)
 	var err error
-	if s.HasDisk() {
+	keeps := options.Role == RoleLarder
+	if s.HasDisk() && !keeps {
 		if n.hut, err = newHut(n); err != nil {
 			return nil, err
 		}
 	}
-	if slices.Contains(s.Serves, "front") {
+	if slices.Contains(s.Serves, "front") || keeps {
 		if n.trail, err = newTrail(n, options); err != nil {
 			return nil, err
 		}
@@ -169,9 +172,15 @@
 		} else {
 			rope.Answer(c, 409, map[string]string{"Error": "another version is in force here"})
 		}
+	case pathLarder:
+		if n.kitchen == nil {
+			rope.Answer(c, 404, map[string]string{"Error": "no larder"})
+			return
+		}
+		n.kitchen.handle(c)
 	case pathStatus:
 		rope.Answer(c, 200, n.Status())
-	case pathConfig:
+	case pathConfig, pathPurge:
 		n.handleControl(ctx, c)
 	default:
 		if n.hut == nil || !n.hut.handle(c) {
@@ -182,25 +191,27 @@
 
 // handleControl takes the operator's calls and passes on what this node can't settle.
 func (n *Node) handleControl(_ context.Context, c *app.RequestContext) {
-	if string(c.Request.URI().PathOriginal()) != pathConfig {
+	path, m := string(c.Request.URI().PathOriginal()), string(c.Request.Header.Method())
+	switch {
+	case path != pathConfig && path != pathPurge:
 		rope.Answer(c, 404, map[string]string{"Error": "no such call"})
-		return
-	}
-	if m := string(c.Request.Header.Method()); m != "GET" && m != "PUT" {
-		rope.Answer(c, 405, map[string]string{"Error": "GET and PUT only"})
-		return
-	}
-	if n.hut != nil && n.hut.knows() {
+	case path == pathConfig && m != "GET" && m != "PUT" && m != "PATCH":
+		rope.Answer(c, 405, map[string]string{"Error": "GET, PUT and PATCH only"})
+	case path == pathPurge && m != "POST":
+		rope.Answer(c, 405, map[string]string{"Error": "POST only"})
+	case n.hut == nil || !n.hut.knows():
+		n.passOn(c, path)
+	case path == pathPurge:
+		n.hut.handlePurge(c)
+	default:
 		n.hut.handleConfig(c)
-		return
 	}
-	n.passOn(c)
 }
 
 const headerPassed = "Swiftswitch-Passed-On"
 
 // passOn sends a control call to a node that may settle it, once.
-func (n *Node) passOn(c *app.RequestContext) {
+func (n *Node) passOn(c *app.RequestContext, path string) {
 	if len(c.Request.Header.Peek(headerPassed)) > 0 {
 		rope.Answer(c, 503, map[string]string{"Error": "this node has no state yet"})
 		return
@@ -213,7 +224,7 @@
 		if ip == n.set().IpAddress {
 			continue
 		}
-		rep, err := n.call.Call(n.set().RopeAddr(ip), string(c.Request.Header.Method()), pathConfig, hd, c.Request.Body(), signpost.Ms(n.set().Bounds.AcknowledgeMs, 0.8))
+		rep, err := n.call.Call(n.set().RopeAddr(ip), string(c.Request.Header.Method()), path, hd, c.Request.Body(), signpost.Ms(n.set().Bounds.AcknowledgeMs, 0.8))
 		if err != nil || rep.Status == 503 || rep.Status == 404 {
 			continue
 		}
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -16,6 +16,7 @@
 	"swiftswitch/internal/fork"
 	"swiftswitch/internal/gather"
 	"swiftswitch/internal/hutbook"
+	"swiftswitch/internal/larder"
 	"swiftswitch/internal/logbook"
 	"swiftswitch/internal/rations"
 	"swiftswitch/internal/rope"
@@ -30,6 +31,12 @@
 // Options are the project's defaults that an operator may change on the
 // command line. All but Slots are ratios.
 type Options struct {
+	// Role says what the node does beside what its settings tell: RoleLarder
+	// makes a node with a disk keep copies instead of state.
+	Role string
+	// Shelf, a part of MemoryMb, is what a front's own copies may take;
+	// LarderShelf what those of a larder may.
+	Shelf, LarderShelf float64
 	// Slots is R, how many searchers hold a slot of one shard at most.
 	Slots int
 	// SwitchWait, a part of ConfigEffectMs, is how long an old cut may serve on.
@@ -52,9 +59,15 @@
 	Saddle bool
 }
 
+// RoleLarder is the role of nodes that keep copies.
+const RoleLarder = "larder"
+
+// Roles are the roles that there are; the others follow from the settings.
+var Roles = []string{"hut", "trail", RoleLarder}
+
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Slots: 4, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
+	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 4, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
 }
 
 // trail is the part of a node that serves clients. Its tables belong to one desk.
@@ -70,7 +83,14 @@
 	choice *saddle.Choice
 	ready  atomic.Bool
 	// larder: the node serves no clients, it keeps copies.
-	larder bool
+	larder  bool
+	pantry  *trailhead.Pantry
+	kitchen *kitchen
+	larders atomic.Pointer[larders]
+	ways    *saddle.Choice
+	// heardAt is when a hut last answered; fronts is how many fronts there are.
+	heardAt atomic.Int64
+	fronts  atomic.Int64
 
 	// Owned by the desk.
 	board   *switchback.Board
@@ -127,6 +147,19 @@
 			return n.call.Ask(n.set().RopeAddr(ip), pathSaddle, ask, say, within)
 		})
 	}
+	t.larder = opt.Role == RoleLarder
+	t.ways = saddle.NewChoice(n.heartbeat(1))
+	memory := s.Limits.MemoryMb * (1 << 20)
+	if memory <= 0 {
+		memory = 256 << 20
+	}
+	t.pantry = trailhead.NewPantry(int(memory*opt.Shelf), n.steady, t)
+	t.head.SetPantry(t.pantry)
+	t.kitchen = newKitchen(n, t, int(memory*opt.Shelf/4))
+	if t.larder {
+		t.kitchen = newKitchen(n, t, int(memory*opt.LarderShelf))
+		n.kitchen = t.kitchen
+	}
 	t.board = switchback.New(switchback.Options{
 		R: opt.Slots, Least: 2, Lease: n.heartbeat(opt.LeaseBeats), Wait: signpost.Ms(b.ConfigEffectMs, opt.SwitchWait),
 	})
@@ -147,8 +180,13 @@
 		}
 		t.pick()
 	})
-	t.open()
-	go t.serveReadiness()
+	go t.kitchen.serve()
+	if t.larder {
+		go t.kitchen.enlistLoop()
+	} else {
+		t.open()
+		go t.serveReadiness()
+	}
 	go t.tickLoop()
 }
 
@@ -314,6 +352,18 @@
 			t.choice.Set(say.Roster, t.n.set().NodeName)
 		}
 	}
+	t.heardAt.Store(int64(t.n.steady()))
+	if say.Huts != nil && say.Slot >= t.held.Load().slot {
+		t.setLarders(say.Larders)
+	}
+	if h := t.held.Load(); say.Purge > h.purge && (h.purge >= 0 || len(say.Huts) > 0) {
+		var list []larder.Purge
+		for _, p := range say.Purges {
+			list = append(list, larder.Purge{N: p.N, Host: p.Host, Path: p.Path, Tag: p.Tag})
+		}
+		t.pantry.Take(say.Purge, say.Floor, list)
+		t.hold(func(h *holds) { h.purge = say.Purge })
+	}
 	delete(t.bad, ip)
 	t.counts[ip] = say.Fronts
 	most := 1
@@ -322,8 +372,11 @@
 	}
 	if most != t.nodes {
 		t.nodes = most
+		t.fronts.Store(int64(most))
 		t.ledger.SetNodes(most)
-		t.rng.SetShare(most)
+		if !t.larder {
+			t.rng.SetShare(most)
+		}
 	}
 	if say.Delta != nil {
 		say.Table = t.table.Follow(say.Delta)
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -46,6 +46,12 @@
 	TableOld    Event = 4005
 	DutyUnfit   Event = 4006
 
+	PurgesChosen   Event = 7001
+	PurgeUnsettled Event = 7002
+	LarderListed   Event = 7003
+	LarderStruck   Event = 7004
+	LarderCleared  Event = 7005
+
 	CutNext     Event = 5001
 	CutSwitched Event = 5002
 	SlotFreed   Event = 5003
@@ -103,6 +109,11 @@
 	{FrontUnready, "front-unready", "info", "The node calls itself not ready."},
 	{SearcherOut, "searcher-out", "info", "A searcher failed several times in a row and is left out for a while."},
 	{SearcherBack, "searcher-back", "info", "A searcher left out answers again."},
+	{PurgesChosen, "purges-chosen", "info", "A majority chose purges; the number of the last is named."},
+	{PurgeUnsettled, "purge-unsettled", "warn", "No majority agreed on a purge in time; the operator sends it again."},
+	{LarderListed, "larder-listed", "info", "This node is one of those that keep copies and may fetch."},
+	{LarderStruck, "larder-struck", "warn", "Nodes that kept copies have been silent and are off the list; the others take their part."},
+	{LarderCleared, "larder-cleared", "info", "This node has its part of the ceilings and fetches."},
 	{RequestRefused, "request-refused", "debug", "A malformed or oversize request was refused."},
 	{AnswerBroken, "answer-broken", "debug", "A searcher's bytes formed no answer, or too many; its connection was ended."},
 }
--- a/internal/saddle/saddle.go
+++ b/internal/saddle/saddle.go
@@ -32,6 +32,8 @@
 	Zone string
 	// Out: it is not ready to help.
 	Out bool `json:",omitempty"`
+	// Keeps: it is no front, it keeps copies.
+	Keeps bool `json:",omitempty"`
 }
 
 // Choice picks fronts, leaving out those that failed lately.
@@ -82,19 +84,29 @@
 	return &a
 }
 
+// Out tells, as 1, that a node is left out now.
+func (c *Choice) Out(ip string, now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.After(c.out[ip]) {
+		return 0
+	}
+	return 1
+}
+
 // Done ends a call; a front that failed twice in a row is left out for a while.
-func (c *Choice) Done(f *Front, ok bool, now time.Time) {
+func (c *Choice) Done(ip string, ok bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy[f.IP]--; c.busy[f.IP] <= 0 {
-		delete(c.busy, f.IP)
+	if c.busy[ip]--; c.busy[ip] <= 0 {
+		delete(c.busy, ip)
 	}
 	if ok {
-		delete(c.fails, f.IP)
+		delete(c.fails, ip)
 		return
 	}
-	if c.fails[f.IP]++; c.fails[f.IP] >= 2 {
-		c.fails[f.IP] = 0
-		c.out[f.IP] = now.Add(c.outFor)
+	if c.fails[ip]++; c.fails[ip] >= 2 {
+		c.fails[ip] = 0
+		c.out[ip] = now.Add(c.outFor)
 	}
 }
--- a/internal/signpost/configuration.go
+++ b/internal/signpost/configuration.go
@@ -15,6 +15,8 @@
 const (
 	KindSafe   = "safe"
 	KindUnsafe = "unsafe"
+	// KindCached routes are safe, and their answers may be kept.
+	KindCached = "cached"
 )
 
 // ParseConfiguration reads a configuration from the operator's bytes and
@@ -76,6 +78,8 @@
 			return errors.New("a service has no Name")
 		case services[s.Name]:
 			return fmt.Errorf("service %q is named twice", s.Name)
+		case s.RequestsPerS < 0 || s.ConnectionLimit < 0:
+			return fmt.Errorf("service %q: a number is out of its range", s.Name)
 		}
 		services[s.Name] = true
 	}
@@ -103,13 +107,13 @@
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		return fmt.Errorf("PathPrefix %q must begin and end with a slash", r.PathPrefix)
 	}
-	if r.RouteKind != KindSafe && r.RouteKind != KindUnsafe {
-		return fmt.Errorf("RouteKind %q is neither safe nor unsafe", r.RouteKind)
+	if r.RouteKind != KindSafe && r.RouteKind != KindUnsafe && r.RouteKind != KindCached {
+		return fmt.Errorf("RouteKind %q is none of safe, cached and unsafe", r.RouteKind)
 	}
 	if !(r.TimeoutMs > 0) {
 		return errors.New("TimeoutMs must be above 0")
 	}
-	if r.TargetLatencyMs < 0 || r.Attempts < 0 || r.TopRecords < 0 || r.MinimumShare < 0 || r.MinimumShare > 1 || r.Priority < 0 {
+	if r.TargetLatencyMs < 0 || r.Attempts < 0 || r.TopRecords < 0 || r.MinimumShare < 0 || r.MinimumShare > 1 || r.Priority < 0 || r.CacheLifetimeS < 0 {
 		return errors.New("a number is out of its range")
 	}
 	ways := 0
--- a/internal/signpost/settings.go
+++ b/internal/signpost/settings.go
@@ -112,6 +112,9 @@
 	if b.RetryBudgetRatio < 0 || b.RetryBudgetSlack < 0 {
 		bad("Bounds.RetryBudgetRatio and RetryBudgetSlack must not be negative")
 	}
+	if b.PurgeMs < 0 || b.StaleSlackS < 0 || b.CeilingWindowS < 0 || b.CeilingOvershoot != 0 && b.CeilingOvershoot < 1 {
+		bad("Bounds.PurgeMs, StaleSlackS and CeilingWindowS must not be negative, nor CeilingOvershoot below 1")
+	}
 	if s.HeartbeatIntervalMs <= 0 {
 		bad("HeartbeatIntervalMs must be above 0")
 	}
--- a/internal/trailhead/across.go
+++ b/internal/trailhead/across.go
@@ -43,7 +43,7 @@
 		}
 		var say saddle.Say
 		err := c.h.call(front.IP, ask, &say, min(left, 3*wait))
-		c.h.choice.Done(front, err == nil, time.Now())
+		c.h.choice.Done(front.IP, err == nil, time.Now())
 		if err != nil || len(say.Stamps) != len(legs) || len(say.Records)%gather.RecordSize != 0 {
 			return make([]string, len(legs)), nil
 		}
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -69,6 +69,7 @@
 
 	choice *saddle.Choice
 	call   Caller
+	pantry *Pantry
 }
 
 // New makes a head without a snapshot; until it has one it refuses.
@@ -248,6 +249,9 @@
 // serve sends the request on and answers.
 func (h *Head) serve(v *visit) bool {
 	r := v.route
+	if r.Cached && h.pantry != nil && (v.req.Method == "GET" || v.req.Method == "HEAD") && !v.req.HasBody() {
+		return h.cached(v)
+	}
 	terms := gather.Terms{Attempts: r.Attempts, Safe: r.Safe, Need: 1, Late: h.opt.Late}
 	var legs []*gather.Leg
 	if len(r.Gathered) > 0 {
--- a/internal/traverse/request.go
+++ b/internal/traverse/request.go
@@ -153,6 +153,19 @@
 // Plain tells whether the request has no body.
 func (r *Request) Plain() bool { return len(r.body) == 0 && r.Method == "GET" }
 
+// HasBody tells whether a body came with the request.
+func (r *Request) HasBody() bool { return len(r.body) > 0 }
+
+// Read is a read of an object on the system's own account; etag, where it is
+// set, asks whether that version still holds.
+func Read(id, host, target, etag string) *Request {
+	b := "GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" + HeaderRequestID + ": " + id + "\r\n"
+	if etag != "" {
+		b += "If-None-Match: " + etag + "\r\n"
+	}
+	return &Request{ID: id, Host: host, Method: "GET", Target: target, DeadlineMs: -1, head: []byte(b)}
+}
+
 // Lent is a request that another front has checked and passed on by its head.
 func Lent(head string) (*Request, bool) {
 	r := &Request{DeadlineMs: -1, head: []byte(head)}
