A first client is told when its object will be there; a leaving front answers who waits

Cause: requests for an object still to be fetched were held until the process ended, and late ones earned less than a refusal with the time to come back.

--- a/internal/larder/stove.go
+++ b/internal/larder/stove.go
@@ -92,7 +92,7 @@
 			s.End(f, 504, "nobody waits for it any more")
 			continue
 		}
-		if w := f.wish * (1 + float64(now-f.since)/float64(time.Second)); best == nil || w > most {
+		if w := f.claim(now); best == nil || w > most {
 			best, most = f, w
 		}
 	}
@@ -103,6 +103,22 @@
 	return best
 }
 
+// claim is how much a fetch is wanted: by how many, and for how long.
+func (f *Flight) claim(now time.Duration) float64 {
+	return f.wish * (1 + float64(now-f.since)/float64(time.Second))
+}
+
+// Before is how many fetches have their turn before f, as it is now.
+func (s *Stove) Before(f *Flight, now time.Duration) int {
+	n, mine := 0, f.claim(now)
+	for _, o := range s.flights {
+		if !o.Running && o.Service == f.Service && o != f && o.claim(now) >= mine {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Stove) begin(f *Flight, known int64, now time.Duration) {
 	f.Running, f.Began, f.Known = true, now, known
 	s.queued[f.Service]--
--- a/internal/lodge/bring.go
+++ b/internal/lodge/bring.go
@@ -116,7 +116,7 @@
 			asked++
 		case got.Status == 202 && got.Copy == nil:
 			// It is being fetched there; the wish counts once.
-			w.Weight = 0
+			w.Weight, w.Again = 0, true
 		default:
 			return got
 		}
@@ -124,7 +124,7 @@
 }
 
 func (t *trail) askLarder(to cairn.Larder, w trailhead.Want, left, wait time.Duration) (trailhead.Brought, error) {
-	a := larderAsk{Host: w.Host, Target: w.Target, Service: w.Service, Weight: w.Weight, Purge: t.pantry.Known(), LeftMs: left.Milliseconds(), WaitMs: wait.Milliseconds()}
+	a := larderAsk{Host: w.Host, Target: w.Target, Service: w.Service, Weight: w.Weight, Purge: t.pantry.Known(), LeftMs: left.Milliseconds(), WaitMs: wait.Milliseconds(), AimMs: w.Aim.Milliseconds(), Again: w.Again}
 	body, err := json.Marshal(a)
 	if err != nil {
 		return trailhead.Brought{}, err
@@ -168,7 +168,7 @@
 	}
 	began := t.n.steady()
 	left := w.Left.Milliseconds()
-	s, body := t.kitchen.bring(larderAsk{Host: w.Host, Target: w.Target, Service: w.Service, Weight: w.Weight, LeftMs: left, WaitMs: left}, r.Lifetime, r.Sends)
+	s, body := t.kitchen.bring(larderAsk{Host: w.Host, Target: w.Target, Service: w.Service, Weight: w.Weight, LeftMs: left, WaitMs: left, AimMs: w.Aim.Milliseconds(), Again: w.Again}, r.Lifetime, r.Sends)
 	switch s.Status {
 	case 202:
 		s.Status = 504
--- a/internal/lodge/larder.go
+++ b/internal/lodge/larder.go
@@ -28,6 +28,9 @@
 	Purge  int64 `json:"P"`
 	LeftMs int64 `json:"L"`
 	WaitMs int64 `json:"M"`
+	AimMs  int64 `json:"A"`
+	// Again: the client was refused once and came back.
+	Again bool `json:"R,omitempty"`
 }
 
 type larderSay struct {
@@ -302,17 +305,15 @@
 			k.mu.Unlock()
 			return larderSay{Status: statusClosed}, nil
 		}
-		f := k.stove.Find(key)
-		if f == nil {
-			left := time.Duration(a.LeftMs) * time.Millisecond
-			if back := k.queue(a.Service); back > time.Duration(float64(left)*hopeless) {
-				k.mu.Unlock()
-				return larderSay{Status: 503, BackMs: min(back, left/4).Milliseconds()}, nil
-			}
-		}
-		f = k.stove.Want(a.Host, a.Target, a.Service, a.Weight, now, now+time.Duration(a.LeftMs)*time.Millisecond)
+		left, aim := time.Duration(a.LeftMs)*time.Millisecond, time.Duration(a.AimMs)*time.Millisecond
+		f := k.stove.Want(a.Host, a.Target, a.Service, a.Weight, now, now+left)
+		back := k.expect(f, now)
 		k.mu.Unlock()
 		k.wake()
+		if !a.Again && back > aim || back > time.Duration(float64(left)*hopeless) {
+			// Told now when it will be there, the client loses less than by waiting.
+			return larderSay{Status: 503, BackMs: min(back, left/3).Milliseconds()}, nil
+		}
 		t := time.NewTimer(time.Until(until))
 		select {
 		case <-f.Done:
@@ -335,13 +336,16 @@
 	}
 }
 
-// queue is about how long a fetch that begins to wait now waits; it runs under the lock.
-func (k *kitchen) queue(service string) time.Duration {
-	c := k.ceilings[service]
-	if c == nil || c.Rate() <= 0 {
-		return 0
+// expect is about how long it takes until a fetch has ended; it runs under the lock.
+func (k *kitchen) expect(f *larder.Flight, now time.Duration) time.Duration {
+	typical, _ := k.t.rng.Latency(f.Service)
+	if f.Running {
+		return max(0, f.Began+typical-now)
+	}
+	if c := k.ceilings[f.Service]; c != nil && c.Rate() > 0 {
+		typical += time.Duration(float64(k.stove.Before(f, now)) / c.Rate() * float64(time.Second))
 	}
-	return time.Duration(float64(k.stove.Queued(service)) / c.Rate() * float64(time.Second))
+	return typical
 }
 
 // ahead confirms a copy in use before it is too old, where nothing else waits.
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -550,7 +550,12 @@
 	if ln := t.ln.Load(); ln != nil {
 		(*ln).Close()
 	}
+	ended := false
 	for time.Since(start) < grace*85/100 && t.head.Busy() > 0 {
+		if !ended && time.Since(start) > grace*65/100 {
+			ended = true
+			t.head.End()
+		}
 		time.Sleep(grace / 200)
 	}
 }
--- a/internal/trailhead/cached.go
+++ b/internal/trailhead/cached.go
@@ -17,6 +17,8 @@
 	Weight float64
 	// Left is how long the client waits, Aim when the answer has its full worth.
 	Left, Aim time.Duration
+	// Again: the client was refused before, and waits now.
+	Again bool
 }
 
 // Brought is what came of a Want.
@@ -151,6 +153,7 @@
 	p, r := h.pantry, v.route
 	service := r.Pick(point(v.req.Host + v.req.Target))
 	key := larder.Key(v.req.Host, v.req.Target)
+	again := v.spent > 0
 	for tries := 0; ; tries++ {
 		c, fl, first := p.get(key, r.Lifetime, r.Sends)
 		if c != nil {
@@ -161,7 +164,7 @@
 			return h.refuse(v, 504, "no answer in time")
 		}
 		if first {
-			w := Want{Host: v.req.Host, Target: v.req.Target, Service: service, Weight: weight(r.Priority), Left: left, Aim: r.Target}
+			w := Want{Host: v.req.Host, Target: v.req.Target, Service: service, Weight: weight(r.Priority), Left: left, Aim: r.Target, Again: again}
 			go func() { p.end(key, fl, p.bringer.Bring(w), r.Lifetime) }()
 		}
 		t := time.NewTimer(left)
@@ -170,6 +173,9 @@
 			t.Stop()
 		case <-t.C:
 			return h.refuse(v, 504, "no answer in time")
+		case <-h.ending:
+			t.Stop()
+			return h.refuse(v, 503, "this node leaves")
 		}
 		got := fl.got
 		switch {
@@ -183,6 +189,9 @@
 			continue
 		case got.Passed != nil:
 			return h.passOn(v, got.Passed)
+		case got.Status == 503 && got.Back > 0 && again && !first:
+			// It was the refusal of another that had not waited yet.
+			continue
 		case got.Status == 503 && got.Back > 0:
 			v.c.Response.Header.Set("Retry-After", strconv.FormatFloat(got.Back.Seconds(), 'f', 3, 64))
 			v.c.SetStatusCode(503)
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -59,9 +59,11 @@
 	guide *gather.Guide
 	now   atomic.Pointer[Snapshot]
 	leave atomic.Bool
-	busy  atomic.Int64
-	chain []filter
-	first chan struct{}
+	// ending is closed when a leaving node answers what still waits here.
+	ending chan struct{}
+	busy   atomic.Int64
+	chain  []filter
+	first  chan struct{}
 
 	// longest is the most time that a client of each route came with.
 	longest sync.Map
@@ -74,7 +76,7 @@
 
 // New makes a head without a snapshot; until it has one it refuses.
 func New(o Options, g *gather.Guide) *Head {
-	h := &Head{opt: o, guide: g, first: make(chan struct{})}
+	h := &Head{opt: o, guide: g, first: make(chan struct{}), ending: make(chan struct{})}
 	h.chain = []filter{h.pin, h.bound, h.read, h.route, h.times, h.serve}
 	return h
 }
@@ -92,6 +94,9 @@
 // Leave makes every further answer the last on its connection.
 func (h *Head) Leave() { h.leave.Store(true) }
 
+// End answers, once, all that waits here and has not gone to a searcher.
+func (h *Head) End() { close(h.ending) }
+
 // Busy counts the requests under way.
 func (h *Head) Busy() int64 { return h.busy.Load() }
 
