--- a/internal/larder/stove.go
+++ b/internal/larder/stove.go
@@ -13,8 +13,10 @@
 	// Tries counts the searchers that were asked.
 	Tries int
 	// wish is how much the fetch is wanted, since when.
-	wish  float64
-	since time.Duration
+	wish float64
+	// asked is when it was last asked for, soon how long after that whoever
+	// asked can still be served in time.
+	asked, soon time.Duration
 	// last is when nobody waits for it any more.
 	last time.Duration
 	// Done is closed at its end; Copy, or else Status and Why, tell how.
@@ -37,8 +39,8 @@
 // Key names the flight's object.
 func (f *Flight) Key() string { return Key(f.Host, f.Target) }
 
-// Stove says what is fetched next: what many wait for, and what has waited
-// long, come first. Several that want one object share one fetch.
+// Stove says what is fetched next: what many wait for, and what can still be
+// served in time, come first. Several that want one object share one fetch.
 type Stove struct {
 	flights map[string]*Flight
 	queued  map[string]int
@@ -48,16 +50,19 @@
 func NewStove() *Stove { return &Stove{flights: map[string]*Flight{}, queued: map[string]int{}} }
 
 // Want joins the fetch of an object, or begins to wish for one. weight is what
-// the one who asks adds to the wish for it, until is how long he waits.
-func (s *Stove) Want(host, target, service string, weight float64, now, until time.Duration) *Flight {
+// the one who asks adds to the wish for it, until is how long he waits, soon how long the fetch may be put off for him
+// to be served in time.
+func (s *Stove) Want(host, target, service string, weight float64, now, until, soon time.Duration) *Flight {
 	key := Key(host, target)
 	f := s.flights[key]
 	if f == nil {
-		f = &Flight{Host: host, Target: target, Service: service, since: now, Done: make(chan struct{})}
+		f = &Flight{Host: host, Target: target, Service: service, Done: make(chan struct{})}
 		s.flights[key] = f
 		s.queued[service]++
 	}
-	f.wish += weight
+	if f.wish += weight; weight > 0 {
+		f.asked, f.soon = now, soon
+	}
 	f.last = max(f.last, until)
 	return f
 }
@@ -103,9 +108,16 @@
 	return best
 }
 
-// claim is how much a fetch is wanted: by how many, and for how long.
+// lateClaim is what a wish counts that can't be met in time any more.
+const lateClaim = 0.4
+
+// claim is how much a fetch is wanted: how many asked for it, and whether the
+// last of them can still be served in time.
 func (f *Flight) claim(now time.Duration) float64 {
-	return f.wish * (1 + float64(now-f.since)/float64(time.Second))
+	if now-f.asked > f.soon {
+		return f.wish * lateClaim
+	}
+	return f.wish
 }
 
 // Before is how many fetches have their turn before f, as it is now.
--- a/internal/lodge/larder.go
+++ b/internal/lodge/larder.go
@@ -306,7 +306,7 @@
 			return larderSay{Status: statusClosed}, nil
 		}
 		left, aim := time.Duration(a.LeftMs)*time.Millisecond, time.Duration(a.AimMs)*time.Millisecond
-		f := k.stove.Want(a.Host, a.Target, a.Service, a.Weight, now, now+left)
+		f := k.stove.Want(a.Host, a.Target, a.Service, a.Weight, now, now+left, aim/3)
 		back := k.expect(f, now)
 		k.mu.Unlock()
 		k.wake()
@@ -356,7 +356,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if _, uses := k.shelf.Peek(c.Key()); uses > 2 && k.stove.Find(c.Key()) == nil && k.stove.Queued(c.Service) == 0 {
-		k.stove.Want(c.Host, c.Target, c.Service, 0.01, now, c.Born+lifetime)
+		k.stove.Want(c.Host, c.Target, c.Service, 0.01, now, c.Born+lifetime, lifetime)
 		k.wake()
 	}
 }
