--- a/internal/lodge/larder.go
+++ b/internal/lodge/larder.go
@@ -312,7 +312,7 @@
 		k.wake()
 		if !a.Again && back > aim || back > time.Duration(float64(left)*hopeless) {
 			// Told now when it will be there, the client loses less than by waiting.
-			return larderSay{Status: 503, BackMs: min(back, left/3).Milliseconds()}, nil
+			return larderSay{Status: 503, BackMs: min(back, left/4).Milliseconds()}, nil
 		}
 		t := time.NewTimer(time.Until(until))
 		select {
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -111,7 +111,8 @@
 	// rosterAt is when the node last asked for other fronts.
 	rosterAt atomic.Int64
 
-	ln atomic.Pointer[net.Listener]
+	ln   atomic.Pointer[net.Listener]
+	gate rope.Gate
 	// def are the limits for clients where the operator gives none.
 	def fork.Limits
 }
@@ -493,6 +494,7 @@
 func (t *trail) open() {
 	lis := t.n.listener(t.def.Idle)
 	lis.MaxHeader = t.n.maxMessage() / 16
+	lis.Gate = &t.gate
 	lis.Limits = func() (time.Duration, time.Duration) {
 		if s := t.head.Current(); s != nil {
 			return s.Map.Limits.HeaderTimeout, s.Map.Limits.Idle
@@ -550,8 +552,10 @@
 	if ln := t.ln.Load(); ln != nil {
 		(*ln).Close()
 	}
+	// Connections at rest are ended unread; the others end with their answer.
+	t.gate.Shut()
 	ended := false
-	for time.Since(start) < grace*85/100 && t.head.Busy() > 0 {
+	for time.Since(start) < grace*92/100 && (t.gate.Busy() > 0 || t.head.Busy() > 0) {
 		if !ended && time.Since(start) > grace*65/100 {
 			ended = true
 			t.head.End()
--- a/internal/rope/server.go
+++ b/internal/rope/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,6 +28,8 @@
 	UserTimeout time.Duration
 	// Limits, where set, are asked each time in place of ReadWithin and IdleFor.
 	Limits func() (read, idle time.Duration)
+	// Gate, where set with Limits, is told of the connections.
+	Gate *Gate
 }
 
 // hertz takes its times once, at the start. Where they may change it is given
@@ -35,25 +39,104 @@
 	markIdle = 48 * time.Hour
 )
 
-type limited struct {
+// Gate knows the connections of a listener, and which of them have a request
+// under way: from its first byte read to its answer written.
+type Gate struct {
+	mu    sync.Mutex
+	conns map[*gatedConn]bool
+	shut  bool
+}
+
+// Shut ends the connections that rest, and lets the others end with the answer under way.
+func (g *Gate) Shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = true
+	for c := range g.conns {
+		if c.idle {
+			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// Busy counts the connections with a request under way.
+func (g *Gate) Busy() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for c := range g.conns {
+		if !c.idle {
+			n++
+		}
+	}
+	return n
+}
+
+type gated struct {
 	net.Listener
+	gate   *Gate
 	limits func() (read, idle time.Duration)
 }
 
-func (l limited) Accept() (net.Conn, error) {
+func (l gated) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &limitedConn{c, l.limits}, nil
+	gc := &gatedConn{Conn: c, limits: l.limits, gate: l.gate, idle: true}
+	l.gate.mu.Lock()
+	if l.gate.conns == nil {
+		l.gate.conns = map[*gatedConn]bool{}
+	}
+	l.gate.conns[gc] = true
+	l.gate.mu.Unlock()
+	return gc, nil
 }
 
-type limitedConn struct {
+type gatedConn struct {
 	net.Conn
 	limits func() (read, idle time.Duration)
+	gate   *Gate
+	// Owned by the gate's lock. idle: nothing of a request was read; wrote:
+	// an answer was written since.
+	idle, wrote bool
 }
 
-func (c *limitedConn) SetReadDeadline(t time.Time) error {
+func (c *gatedConn) Read(b []byte) (int, error) {
+	c.gate.mu.Lock()
+	if c.wrote {
+		c.idle, c.wrote = true, false
+	}
+	over := c.gate.shut && c.idle
+	c.gate.mu.Unlock()
+	if over {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.gate.mu.Lock()
+		c.idle = false
+		c.gate.mu.Unlock()
+	}
+	return n, err
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.gate.mu.Lock()
+	c.wrote = true
+	c.gate.mu.Unlock()
+	return n, err
+}
+
+func (c *gatedConn) Close() error {
+	c.gate.mu.Lock()
+	delete(c.gate.conns, c)
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *gatedConn) SetReadDeadline(t time.Time) error {
 	if left := time.Until(t); left > markRead/2 {
 		read, idle := c.limits()
 		if left > (markRead+markIdle)/2 {
@@ -61,6 +144,11 @@
 		}
 		t = time.Now().Add(read)
 	}
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.gate.shut && (c.idle || c.wrote) {
+		t = time.Unix(1, 0)
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -86,7 +174,10 @@
 // not normalised, nothing is added to answers, no body is touched.
 func Serve(ln net.Listener, l Listener, handle app.HandlerFunc) *server.Hertz {
 	if l.Limits != nil {
-		ln = limited{ln, l.Limits}
+		if l.Gate == nil {
+			l.Gate = &Gate{}
+		}
+		ln = gated{ln, l.Gate, l.Limits}
 		l.ReadWithin, l.IdleFor = markRead, markIdle
 	}
 	h := server.New(
@@ -121,7 +212,7 @@
 
 // boundConn sets TCP_USER_TIMEOUT on a connection that was taken.
 func boundConn(c net.Conn, d time.Duration) {
-	if l, ok := c.(*limitedConn); ok {
+	if l, ok := c.(*gatedConn); ok {
 		c = l.Conn
 	}
 	sc, ok := c.(syscall.Conn)
