--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -70,7 +70,7 @@
 
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 4, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.92, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
+	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 4, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.89, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
 }
 
 // trail is the part of a node that serves clients. Its tables belong to one desk.
