--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -37,7 +38,7 @@
 		Use: "refuge", Short: "A search front over sharded indexes",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(runCmd(), checkCmd(), configCmd(), statusCmd(), eventsCmd())
+	root.AddCommand(runCmd(), checkCmd(), configCmd(), purgeCmd(), statusCmd(), eventsCmd())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "refuge:", err)
 		if e, ok := err.(exit); ok {
@@ -180,8 +181,61 @@
 		fmt.Println("acknowledged")
 		return nil
 	}}
-	put.Flags().Int64Var(&base, "if-match", 0, "the version that this one builds on (0: the first)")
-	c.AddCommand(put)
+	patch := &cobra.Command{Use: "patch FILE", Short: "Change named items of the configuration", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
+		raw, err := readFile(a[0])
+		if err != nil {
+			return exit{exitBad, err}
+		}
+		if _, err := signpost.ParsePatch(raw); err != nil {
+			return exit{exitBad, fmt.Errorf("%s: %w", a[0], err)}
+		}
+		if _, err := call("PATCH", map[string]string{"If-Match": strconv.FormatInt(base, 10)}, raw); err != nil {
+			return err
+		}
+		fmt.Println("acknowledged")
+		return nil
+	}}
+	for _, x := range []*cobra.Command{put, patch} {
+		x.Flags().Int64Var(&base, "if-match", 0, "the version that this one builds on (0: the first)")
+	}
+	c.AddCommand(put, patch)
+	return c
+}
+
+func purgeCmd() *cobra.Command {
+	var node, host, path, tag string
+	var within time.Duration
+	c := &cobra.Command{Use: "purge", Short: "End the copies of an object, or of all objects with a tag", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		order := map[string]string{}
+		for name, v := range map[string]string{"HostName": host, "Path": path, "Tag": tag} {
+			if v != "" {
+				order[name] = v
+			}
+		}
+		raw, err := json.Marshal(order)
+		if err != nil {
+			return exit{exitBad, err}
+		}
+		if _, err := signpost.ParsePurge(raw); err != nil {
+			return exit{exitBad, err}
+		}
+		rep, err := rope.NewClient(1, within, within, 1<<20).Call(node, "POST", "/-/purge", nil, raw, within)
+		if err != nil {
+			return exit{exitRemote, fmt.Errorf("%s can't be reached: %w; try another node", node, err)}
+		}
+		if rep.Status != 200 {
+			return exit{exitRemote, fmt.Errorf("%s answered %d: %s", node, rep.Status, rep.Body)}
+		}
+		fmt.Println("acknowledged")
+		return nil
+	}}
+	f := c.Flags()
+	f.StringVar(&node, "node", "", "address of any node (host:port of control or of the port between nodes)")
+	f.StringVar(&host, "host", "", "host name of the object")
+	f.StringVar(&path, "path", "", "path of the object")
+	f.StringVar(&tag, "tag", "", "tag of the objects")
+	f.DurationVar(&within, "within", 10*time.Second, "how long to wait")
+	_ = c.MarkFlagRequired("node")
 	return c
 }
 
--- a/internal/cellar/cellar.go
+++ b/internal/cellar/cellar.go
@@ -61,6 +61,19 @@
 	}
 	c := &Cellar{dir: dir, again: again, slow: slow, kick: make(chan struct{}, 1), pending: map[string][]byte{}, done: make(chan struct{}), last: map[string][]byte{}}
 	db, err := c.open()
+	if err != nil && pebble.IsCorruptionError(err) {
+		// What can't be read is as good as lost: the node starts as one whose
+		// disk is empty, under a new identity. The old store is kept aside, once.
+		logbook.Log(logbook.DiskUnreadable, "err", err)
+		aside := filepath.Join(dir, "cellar-unreadable")
+		if err := os.RemoveAll(aside); err != nil {
+			return nil, err
+		}
+		if err := os.Rename(filepath.Join(dir, "cellar"), aside); err != nil {
+			return nil, err
+		}
+		db, err = c.open()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cellar/cellar_test.go
+++ b/internal/cellar/cellar_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -55,3 +57,44 @@
 		}
 	}
 }
+
+// A store that can't be read is set aside; the node starts as with an empty disk.
+func TestDamagedStoreIsSetAside(t *testing.T) {
+	logbook.SetOutput(io.Discard)
+	dir := t.TempDir()
+	c, err := Open(dir, time.Second, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := put(t, c, "a", "1"); err != nil {
+		t.Fatal(err)
+	}
+	c.Close(time.Second)
+	files, _ := filepath.Glob(filepath.Join(dir, "cellar", "MANIFEST-*"))
+	if len(files) == 0 {
+		t.Fatal("no file to damage")
+	}
+	for _, f := range files {
+		raw, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range raw[:min(len(raw), 64)] {
+			raw[i] ^= 0x5a
+		}
+		if err := os.WriteFile(f, raw, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c, err = Open(dir, time.Second, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close(time.Second)
+	if v, err := c.Get("a"); v != nil || err != nil {
+		t.Fatalf("read %q, %v", v, err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "cellar-unreadable")); err != nil {
+		t.Fatal("the damaged store is gone")
+	}
+}
--- a/internal/larder/copy.go
+++ b/internal/larder/copy.go
@@ -25,8 +25,13 @@
 	Known int64
 }
 
-// Key names an object.
-func Key(host, target string) string { return strings.ToLower(host) + "\n" + target }
+// Key names an object; neither the case of the host nor a port counts.
+func Key(host, target string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host) + "\n" + target
+}
 
 // Key names the copy's object.
 func (c *Copy) Key() string { return Key(c.Host, c.Target) }
--- a/internal/lodge/bring.go
+++ b/internal/lodge/bring.go
@@ -53,7 +53,7 @@
 
 // parts is this node's part of each service's ceiling; ok is false while it
 // must not fetch. A larder that came onto the list waits until the others have
-// heard of it and given up their part; one that no hut answers stops before
+// heard of it and given up their part; one that no hut in touch with a majority answers stops before
 // the huts count it as gone and the others take its part. Fronts fetch only
 // where there is no larder.
 func (t *trail) parts() (part float64, ok bool) {
--- a/internal/lodge/duty.go
+++ b/internal/lodge/duty.go
@@ -193,6 +193,8 @@
 	Table     hutbook.Stamp
 	Searchers int
 	Fronts    map[string]int64
+	Purge     int64    `json:",omitempty"`
+	Larders   []string `json:",omitempty"`
 }
 
 func (h *hut) status() *HutStatus {
@@ -210,6 +212,10 @@
 		for name, f := range h.fronts {
 			st.Fronts[name] = f.slot
 		}
+		st.Purge = s.PurgeSeq
+		for _, l := range s.Larders {
+			st.Larders = append(st.Larders, l.Name+"@"+l.IP)
+		}
 	})
 	return st
 }
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -128,6 +128,12 @@
 func newHut(n *Node) (*hut, error) {
 	s := n.set()
 	cel, err := cellar.Open(s.DataDirectory, signpost.Ms(s.Bounds.AcknowledgeMs, 0.1), signpost.Ms(s.Bounds.AcknowledgeMs, 0.04))
+	for until := time.Now().Add(signpost.Ms(s.Bounds.AcknowledgeMs, 2)); err != nil && time.Now().Before(until); {
+		// A disk in trouble often comes back; ending and starting anew would be no better.
+		logbook.Log(logbook.DiskTrouble, "err", err)
+		time.Sleep(signpost.Ms(s.Bounds.AcknowledgeMs, 0.04))
+		cel, err = cellar.Open(s.DataDirectory, signpost.Ms(s.Bounds.AcknowledgeMs, 0.1), signpost.Ms(s.Bounds.AcknowledgeMs, 0.04))
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -578,6 +584,13 @@
 	now := h.n.steady()
 	s := h.acc.State
 	say = watchSay{Zone: h.n.set().Zone, Slot: s.Slot, Version: s.Version, Fronts: h.countFronts(now), Purge: s.PurgeSeq, Floor: s.PurgeFloor()}
+	heard := 0
+	for _, v := range s.Voters {
+		if v.ID == h.acc.ID || h.duty.Silent(v.ID, now) < h.n.heartbeat(2) {
+			heard++
+		}
+	}
+	say.Lone = heard < len(s.Voters)/2+1
 	if m.Roster || s.Slot > m.Slot {
 		for _, v := range s.Voters {
 			say.Huts = append(say.Huts, hutAt{v.IP, h.zoneOf(v.IP)})
--- a/internal/lodge/larder.go
+++ b/internal/lodge/larder.go
@@ -97,6 +97,20 @@
 	}
 }
 
+// held tells how many copies a larder holds, and their bytes.
+func (k *kitchen) held() (copies, bytes int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.shelf.Len(), k.shelf.Used()
+}
+
+// count is how many fetches there were.
+func (k *kitchen) count() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fetched
+}
+
 // share is this node's part of what a service takes a second; below 0 where
 // the service has no ceiling.
 func (k *kitchen) share(service string) float64 {
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -135,7 +135,9 @@
 }
 
 type watchSay struct {
-	Zone    string
+	Zone string
+	// Lone: this hut has not heard a majority of the voters lately.
+	Lone    bool `json:",omitempty"`
 	Slot    int64
 	Version int64
 	Stamp   hutbook.Stamp
--- a/internal/lodge/standin_test.go
+++ b/internal/lodge/standin_test.go
@@ -25,6 +25,8 @@
 	mu          sync.Mutex
 	runs        []string
 	mode        string // "", "500", "cut", "notrun", "slow", "surplus", "nostamp"
+	// object is the version of the objects that an origin serves; 0: it is none.
+	object int
 }
 
 func (s *searcher) set(mode string) { s.mu.Lock(); s.mode = mode; s.mu.Unlock() }
@@ -82,6 +84,20 @@
 		c.Close()
 		return
 	}
+	s.mu.Lock()
+	object := s.object
+	s.mu.Unlock()
+	if object > 0 {
+		tag := fmt.Sprintf("%q", fmt.Sprint("v", object))
+		w.Header().Set("ETag", tag)
+		w.Header().Set("Swiftswitch-Object-Tags", "all t"+r.URL.Path[len(r.URL.Path)-1:])
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(304)
+			return
+		}
+		fmt.Fprintf(w, "%s version %d", r.URL.Path, object)
+		return
+	}
 	w.Header().Set("X-Kept", "1")
 	w.Header().Add("X-Kept", "2")
 	_, _ = w.Write(records(s.service))
@@ -170,6 +186,14 @@
 // settings of node n; huts have numbers below 10.
 func (w *town) settings(n int, first bool, seeds ...int) *signpost.Settings {
 	serves, listen, data := "front", fmt.Sprintf("FrontAddress: %q\n  ReadinessAddress: %q", w.ip(n)+":8080", w.ip(n)+":8081"), ""
+	if n > 20 {
+		serves, listen = "", ""
+		name := fmt.Sprint("larder-", n)
+		if w.dirs[name] == "" {
+			w.dirs[name] = w.t.TempDir()
+		}
+		data = w.dirs[name]
+	}
 	if n < 10 {
 		serves, listen = "control", fmt.Sprintf("ControlAddress: %q", w.ip(n)+":8090")
 		name := fmt.Sprint("hut-", n)
@@ -199,7 +223,11 @@
 
 func (w *town) run(n int, first bool, seeds ...int) *Node {
 	w.t.Helper()
-	node, err := open(w.settings(n, first, seeds...), "", DefaultOptions())
+	opt := DefaultOptions()
+	if n > 20 {
+		opt.Role = RoleLarder
+	}
+	node, err := open(w.settings(n, first, seeds...), "", opt)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -246,6 +274,7 @@
 // config is a configuration with a gathered route over shards, a safe and an unsafe plain one.
 func config(version int, shards ...string) string {
 	var names, services []string
+	services = append(services, `{"Name":"origin","HealthPath":"/health","ConnectionLimit":60,"RequestsPerS":40}`)
 	for _, s := range append([]string{"plain"}, shards...) {
 		services = append(services, fmt.Sprintf(`{"Name":%q,"HealthPath":"/health","ConnectionLimit":60}`, s))
 	}
@@ -255,6 +284,7 @@
 	return fmt.Sprintf(`{"Version":%d,"Routes":[
 {"Name":"g","HostName":"a.example","PathPrefix":"/g/","RouteKind":"safe","TimeoutMs":2000,"TargetLatencyMs":300,"GatheredServices":[%s],"Attempts":2,"TopRecords":7,"MinimumShare":0.5},
 {"Name":"p","HostName":"a.example","PathPrefix":"/p/","RouteKind":"safe","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"plain","Attempts":2},
+{"Name":"c","HostName":"a.example","PathPrefix":"/c/","RouteKind":"cached","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"origin","Attempts":2,"CacheLifetimeS":3},
 {"Name":"u","HostName":"a.example","PathPrefix":"/u/","RouteKind":"unsafe","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"plain","Attempts":3}],
 "Services":[%s],"Limits":{"HeaderSizeBytes":4096,"BodySizeBytes":1000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":3000}}`,
 		version, strings.Join(names, ","), strings.Join(services, ","))
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -358,7 +358,9 @@
 			t.choice.Set(say.Roster, t.n.set().NodeName)
 		}
 	}
-	t.heardAt.Store(int64(t.n.steady()))
+	if !say.Lone {
+		t.heardAt.Store(int64(t.n.steady()))
+	}
 	if say.Huts != nil && say.Slot >= t.held.Load().slot {
 		t.setLarders(say.Larders)
 	}
@@ -609,10 +611,23 @@
 	// Helped counts the requests in which this front gathered for another.
 	Helped int64
 	Slots  map[string][]string
+	// Copies and CopyBytes are what is kept, Purge the last purge known;
+	// Fetched counts fetches, Part is this node's part of the ceilings.
+	Copies    int
+	CopyBytes int
+	Purge     int64
+	Fetched   int64
+	Part      float64
 }
 
 func (t *trail) status() *TrailStatus {
 	st := &TrailStatus{Ready: t.ready.Load(), Busy: t.head.Busy(), Helped: t.head.Lent(), Slots: map[string][]string{}}
+	st.Copies, st.CopyBytes = t.pantry.Held()
+	if t.larder {
+		st.Copies, st.CopyBytes = t.kitchen.held()
+	}
+	st.Fetched, st.Purge = t.kitchen.count(), t.pantry.Known()
+	st.Part, _ = t.parts()
 	t.desk.ask(func() {
 		st.Slot, st.LastBuilt, st.Current, st.Fronts = t.held.Load().slot, t.board.LastBuilt, t.board.Current.Version, t.nodes
 		if t.board.Next != nil {
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -26,18 +26,19 @@
 	MessageRefused Event = 2001
 	PeerSilent     Event = 2002
 
-	GenesisVoters Event = 3001
-	ConfigChosen  Event = 3002
-	VotersChosen  Event = 3003
-	ProposalLost  Event = 3004
-	CaughtUp      Event = 3005
-	JoinAsked     Event = 3006
-	IdentityNew   Event = 3007
-	ConfigRefused Event = 3008
-	DiskTrouble   Event = 3009
-	DiskBack      Event = 3010
-	HandedOver    Event = 3011
-	ReadUnsettled Event = 3012
+	GenesisVoters  Event = 3001
+	ConfigChosen   Event = 3002
+	VotersChosen   Event = 3003
+	ProposalLost   Event = 3004
+	CaughtUp       Event = 3005
+	JoinAsked      Event = 3006
+	IdentityNew    Event = 3007
+	ConfigRefused  Event = 3008
+	DiskTrouble    Event = 3009
+	DiskBack       Event = 3010
+	HandedOver     Event = 3011
+	ReadUnsettled  Event = 3012
+	DiskUnreadable Event = 3013
 
 	DutyTaken   Event = 4001
 	DutyLeft    Event = 4002
@@ -96,6 +97,7 @@
 	{DiskBack, "disk-back", "info", "Writes go through again."},
 	{HandedOver, "handed-over", "info", "What a node had missed was handed to it."},
 	{ReadUnsettled, "read-unsettled", "info", "A read of the configuration found no majority."},
+	{DiskUnreadable, "disk-unreadable", "error", "The store on disk is damaged; it is set aside and the node starts as with an empty disk."},
 	{DutyTaken, "duty-taken", "info", "This node now polls the platform's list, under the epoch named."},
 	{DutyLeft, "duty-left", "info", "This node no longer polls; another has the duty."},
 	{ListFailed, "list-failed", "warn", "The platform's list could not be read; the last one stays."},
