--- a/internal/cellar/cellar_test.go
+++ b/internal/cellar/cellar_test.go
@@ -98,3 +98,44 @@
 		t.Fatal("the damaged store is gone")
 	}
 }
+
+// A loss of power leaves unsynced writes missing or torn: what was answered as written is there.
+func TestTornTail(t *testing.T) {
+	logbook.SetOutput(io.Discard)
+	for _, tail := range []string{"", "torn", string(make([]byte, 40_000))} {
+		dir, after := t.TempDir(), t.TempDir()
+		c, err := Open(dir, time.Second, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range []string{"1", "2", "3"} {
+			if err := put(t, c, "a", v); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// The files as they are at this moment, with something after the end of the log.
+		if err := os.CopyFS(after, os.DirFS(dir)); err != nil {
+			t.Fatal(err)
+		}
+		c.Close(time.Second)
+		logs, _ := filepath.Glob(filepath.Join(after, "cellar", "*.log"))
+		if len(logs) == 0 {
+			t.Fatal("no log")
+		}
+		for _, l := range logs {
+			f, err := os.OpenFile(l, os.O_APPEND|os.O_WRONLY, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = f.WriteString(tail)
+			f.Close()
+		}
+		if c, err = Open(after, time.Second, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if v, err := c.Get("a"); string(v) != "3" || err != nil {
+			t.Fatalf("%q is there, %v", v, err)
+		}
+		c.Close(time.Second)
+	}
+}
--- a/internal/switchback/trace_test.go
+++ b/internal/switchback/trace_test.go
@@ -78,7 +78,7 @@
 }
 
 func TestTraces(t *testing.T) {
-	diary.Play(t, 6, func() func([]string) error {
+	diary.Play(t, 7, func() func([]string) error {
 		b := New(Options{R: 2, Least: 2, Lease: time.Second, Wait: 1200 * time.Millisecond})
 		var table *hutbook.Table
 		return func(f []string) error { return play(b, &table, f) }
