Tidy: one look-up of routes, one call to nodes; dead state and events removed

The query is cut off in one place (fork.Map.Match), a node's route is found by one method, put and patch share one command, purges keep one type, the larders know whether this node is among them, the roll is compared as a list, Choose allocates nothing. Gone: events that nothing logs (E2002, E7005), unused methods and fields.

--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -141,6 +141,18 @@
 	return os.ReadFile(name)
 }
 
+// callNode sends one of the operator's calls; only 200 is a success.
+func callNode(node, method, path string, hd map[string]string, body []byte, within time.Duration) (rope.Reply, error) {
+	rep, err := rope.NewClient(1, within, within, 64<<20).Call(node, method, path, hd, body, within)
+	if err != nil {
+		return rep, exit{exitRemote, fmt.Errorf("%s can't be reached: %w; try another node", node, err)}
+	}
+	if rep.Status != 200 {
+		return rep, exit{exitRemote, fmt.Errorf("%s answered %d: %s", node, rep.Status, rep.Body)}
+	}
+	return rep, nil
+}
+
 func configCmd() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Read or change the configuration"}
 	var node string
@@ -150,14 +162,7 @@
 	c.PersistentFlags().DurationVar(&within, "within", 10*time.Second, "how long to wait")
 	_ = c.MarkPersistentFlagRequired("node")
 	call := func(method string, hd map[string]string, body []byte) (rope.Reply, error) {
-		rep, err := rope.NewClient(1, within, within, 64<<20).Call(node, method, "/-/configuration", hd, body, within)
-		if err != nil {
-			return rep, exit{exitRemote, fmt.Errorf("%s can't be reached: %w; try another node", node, err)}
-		}
-		if rep.Status != 200 {
-			return rep, exit{exitRemote, fmt.Errorf("%s answered %d: %s", node, rep.Status, rep.Body)}
-		}
-		return rep, nil
+		return callNode(node, method, "/-/configuration", hd, body, within)
 	}
 	c.AddCommand(&cobra.Command{Use: "get", Short: "Print the newest configuration", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		rep, err := call("GET", nil, nil)
@@ -167,38 +172,32 @@
 		_, err = os.Stdout.Write(rep.Body)
 		return err
 	}})
-	put := &cobra.Command{Use: "put FILE", Short: "Put a whole configuration in force", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
-		raw, err := readFile(a[0])
-		if err != nil {
-			return exit{exitBad, err}
-		}
-		if _, err := signpost.ParseConfiguration(raw); err != nil {
-			return exit{exitBad, fmt.Errorf("%s: %w", a[0], err)}
-		}
-		if _, err := call("PUT", map[string]string{"If-Match": strconv.FormatInt(base, 10)}, raw); err != nil {
-			return err
-		}
-		fmt.Println("acknowledged")
-		return nil
-	}}
-	patch := &cobra.Command{Use: "patch FILE", Short: "Change named items of the configuration", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
-		raw, err := readFile(a[0])
-		if err != nil {
-			return exit{exitBad, err}
-		}
-		if _, err := signpost.ParsePatch(raw); err != nil {
-			return exit{exitBad, fmt.Errorf("%s: %w", a[0], err)}
-		}
-		if _, err := call("PATCH", map[string]string{"If-Match": strconv.FormatInt(base, 10)}, raw); err != nil {
-			return err
-		}
-		fmt.Println("acknowledged")
-		return nil
-	}}
-	for _, x := range []*cobra.Command{put, patch} {
+	change := func(use, short, method string, check func([]byte) error) {
+		x := &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
+			raw, err := readFile(a[0])
+			if err != nil {
+				return exit{exitBad, err}
+			}
+			if err := check(raw); err != nil {
+				return exit{exitBad, fmt.Errorf("%s: %w", a[0], err)}
+			}
+			if _, err := call(method, map[string]string{"If-Match": strconv.FormatInt(base, 10)}, raw); err != nil {
+				return err
+			}
+			fmt.Println("acknowledged")
+			return nil
+		}}
 		x.Flags().Int64Var(&base, "if-match", 0, "the version that this one builds on (0: the first)")
+		c.AddCommand(x)
 	}
-	c.AddCommand(put, patch)
+	change("put FILE", "Put a whole configuration in force", "PUT", func(raw []byte) error {
+		_, err := signpost.ParseConfiguration(raw)
+		return err
+	})
+	change("patch FILE", "Change named items of the configuration", "PATCH", func(raw []byte) error {
+		_, err := signpost.ParsePatch(raw)
+		return err
+	})
 	return c
 }
 
@@ -219,12 +218,8 @@
 		if _, err := signpost.ParsePurge(raw); err != nil {
 			return exit{exitBad, err}
 		}
-		rep, err := rope.NewClient(1, within, within, 1<<20).Call(node, "POST", "/-/purge", nil, raw, within)
-		if err != nil {
-			return exit{exitRemote, fmt.Errorf("%s can't be reached: %w; try another node", node, err)}
-		}
-		if rep.Status != 200 {
-			return exit{exitRemote, fmt.Errorf("%s answered %d: %s", node, rep.Status, rep.Body)}
+		if _, err := callNode(node, "POST", "/-/purge", nil, raw, within); err != nil {
+			return err
 		}
 		fmt.Println("acknowledged")
 		return nil
--- a/internal/fork/fork.go
+++ b/internal/fork/fork.go
@@ -120,8 +120,9 @@
 	return out
 }
 
-// Match finds the route for a Host header and a path; nil is 404.
-func (m *Map) Match(host, path string) *Route {
+// Match finds the route for a Host header and a request's target; nil is 404.
+func (m *Map) Match(host, target string) *Route {
+	path, _, _ := strings.Cut(target, "?")
 	l, ok := m.hosts[host]
 	if !ok {
 		host = strings.ToLower(host)
--- a/internal/larder/notices.go
+++ b/internal/larder/notices.go
@@ -1,12 +1,13 @@
 package larder
 
-import "strings"
+import (
+	"strings"
 
-// Purge is one notice: an object by host and path, or a tag.
-type Purge struct {
-	N               int64
-	Host, Path, Tag string
-}
+	"swiftswitch/internal/cairn"
+)
+
+// Purge is one notice, as it was agreed on: an object by host and path, or a tag.
+type Purge = cairn.Purge
 
 // Notices is what a node knows of the purges: the number of the last one, and
 // for each name the last that named it. Purges up to Floor are known to nobody
--- a/internal/larder/shelf.go
+++ b/internal/larder/shelf.go
@@ -112,19 +112,3 @@
 
 // Used is how many bytes it holds.
 func (s *Shelf) Used() int { return s.used }
-
-// Each visits the copies until f returns false.
-func (s *Shelf) Each(f func(c *Copy, uses float64) bool) {
-	for _, p := range s.order {
-		if !f(p.copy, p.uses) {
-			return
-		}
-	}
-}
-
-// Halve lets uses of the past count less.
-func (s *Shelf) Halve() {
-	for _, p := range s.order {
-		p.uses /= 2
-	}
-}
--- a/internal/lodge/bring.go
+++ b/internal/lodge/bring.go
@@ -3,11 +3,11 @@
 import (
 	"cmp"
 	"encoding/json"
-	"hash/fnv"
 	"slices"
 	"time"
 
 	"swiftswitch/internal/cairn"
+	"swiftswitch/internal/fork"
 	"swiftswitch/internal/larder"
 	"swiftswitch/internal/signpost"
 	"swiftswitch/internal/trailhead"
@@ -16,6 +16,8 @@
 // larders is what a node knows of those that keep copies; it is never changed.
 type larders struct {
 	list []cairn.Larder
+	// on: this node is one of them.
+	on bool
 	// since is when this node came onto the list, in this life.
 	since time.Duration
 	first bool
@@ -25,16 +27,16 @@
 func (t *trail) setLarders(list []cairn.Larder) {
 	old := t.larders.Load()
 	now := &larders{list: list}
-	self := func(l cairn.Larder) bool { return l.IP == t.n.set().IpAddress }
-	if slices.ContainsFunc(list, self) {
-		if old == nil {
-			// It was on the list in an earlier life: nobody else has its part.
-			now.first = true
-		} else if slices.ContainsFunc(old.list, self) {
-			now.since, now.first = old.since, old.first
-		} else {
-			now.since = t.n.steady()
-		}
+	now.on = slices.ContainsFunc(list, func(l cairn.Larder) bool { return l.IP == t.n.set().IpAddress })
+	switch {
+	case !now.on:
+	case old == nil:
+		// It was on the list in an earlier life: nobody else has its part.
+		now.first = true
+	case old.on:
+		now.since, now.first = old.since, old.first
+	default:
+		now.since = t.n.steady()
 	}
 	t.larders.Store(now)
 	if t.larder {
@@ -42,20 +44,20 @@
 	}
 }
 
-// listed tells whether this node is one of the larders.
-func (t *trail) listed() (l *larders, ok bool) {
-	l = t.larders.Load()
-	if l == nil {
-		return nil, false
+// route finds the route of an object, if there is any yet.
+func (t *trail) route(host, target string) *fork.Route {
+	snap := t.head.Current()
+	if snap == nil {
+		return nil
 	}
-	return l, slices.ContainsFunc(l.list, func(x cairn.Larder) bool { return x.IP == t.n.set().IpAddress })
+	return snap.Map.Match(host, target)
 }
 
 // parts is this node's part of each service's ceiling; ok is false while it
 // must not fetch. A larder that came onto the list waits until the others have
-// heard of it and given up their part; one that no hut in touch with a majority answers stops before
-// the huts count it as gone and the others take its part. Fronts fetch only
-// where there is no larder.
+// heard of it and given up their part; one that no hut in touch with a
+// majority answers stops before the huts count it as gone and the others take
+// its part. Fronts fetch only where there is no larder.
 func (t *trail) parts() (part float64, ok bool) {
 	l := t.larders.Load()
 	if l == nil {
@@ -66,7 +68,7 @@
 		return 0, false
 	}
 	if t.larder {
-		if _, on := t.listed(); !on || !l.first && now-l.since < t.n.heartbeat(2) {
+		if !l.on || !l.first && now-l.since < t.n.heartbeat(2) {
 			return 0, false
 		}
 		return 1 / float64(len(l.list)), true
@@ -89,21 +91,17 @@
 		return t.bringSelf(w)
 	}
 	order := slices.Clone(l.list)
-	score := func(x cairn.Larder) uint64 {
-		f := fnv.New64a()
-		_, _ = f.Write([]byte(x.IP + "\n" + larder.Key(w.Host, w.Target)))
-		return f.Sum64() * 0x9E3779B97F4A7C15
-	}
+	key, now := larder.Key(w.Host, w.Target), time.Now()
+	score := func(x cairn.Larder) uint64 { return hash(x.IP+"\n"+key) * 0x9E3779B97F4A7C15 }
 	slices.SortFunc(order, func(a, b cairn.Larder) int {
-		return cmp.Or(cmp.Compare(t.ways.Out(a.IP, time.Now()), t.ways.Out(b.IP, time.Now())), cmp.Compare(score(b), score(a)))
+		return cmp.Or(cmp.Compare(t.ways.Out(a.IP, now), t.ways.Out(b.IP, now)), cmp.Compare(score(b), score(a)))
 	})
-	at := 0
-	for asked := 0; ; {
+	for at := 0; ; {
 		left := time.Until(deadline)
 		if left < time.Millisecond {
 			return trailhead.Brought{Status: 504}
 		}
-		if asked >= 2*len(order) {
+		if at >= 2*len(order) {
 			return trailhead.Brought{Status: 503, Back: min(t.n.heartbeat(0.5), left/4)}
 		}
 		wait := min(left, max(w.Aim*3/4, t.n.heartbeat(0.2)))
@@ -113,7 +111,6 @@
 		switch {
 		case err != nil || got.Status == statusClosed:
 			at++
-			asked++
 		case got.Status == 202 && got.Copy == nil:
 			// It is being fetched there; the wish counts once.
 			w.Weight, w.Again = 0, true
@@ -125,12 +122,8 @@
 
 func (t *trail) askLarder(to cairn.Larder, w trailhead.Want, left, wait time.Duration) (trailhead.Brought, error) {
 	a := larderAsk{Host: w.Host, Target: w.Target, Service: w.Service, Weight: w.Weight, Purge: t.pantry.Known(), LeftMs: left.Milliseconds(), WaitMs: wait.Milliseconds(), AimMs: w.Aim.Milliseconds(), Again: w.Again}
-	body, err := json.Marshal(a)
-	if err != nil {
-		return trailhead.Brought{}, err
-	}
 	began := t.n.steady()
-	rep, err := t.n.call.Call(t.n.set().RopeAddr(to.IP), "POST", pathLarder, nil, body, min(left, wait+max(w.Aim/2, t.n.heartbeat(0.2))))
+	rep, err := t.n.call.Call(t.n.set().RopeAddr(to.IP), "POST", pathLarder, nil, encode("larder", a), min(left, wait+max(w.Aim/2, t.n.heartbeat(0.2))))
 	if err != nil {
 		return trailhead.Brought{}, err
 	}
@@ -158,11 +151,7 @@
 
 // bringSelf fetches where there is no larder.
 func (t *trail) bringSelf(w trailhead.Want) trailhead.Brought {
-	snap := t.head.Current()
-	if snap == nil {
-		return trailhead.Brought{Status: 503}
-	}
-	r := snap.Map.Match(w.Host, pathOnly(w.Target))
+	r := t.route(w.Host, w.Target)
 	if r == nil {
 		return trailhead.Brought{Status: 503}
 	}
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -54,7 +53,7 @@
 	// rollN numbers the states of the roll of nodes that watch this hut
 	// first; rolls holds those of the other huts.
 	rollN  int64
-	rolled string
+	rolled []saddle.Front
 	rolls  map[string]rollSeen
 	// keepers are the larders, and when they were last heard.
 	keepers map[string]time.Duration
@@ -127,12 +126,13 @@
 
 func newHut(n *Node) (*hut, error) {
 	s := n.set()
-	cel, err := cellar.Open(s.DataDirectory, signpost.Ms(s.Bounds.AcknowledgeMs, 0.1), signpost.Ms(s.Bounds.AcknowledgeMs, 0.04))
+	slow, again := signpost.Ms(s.Bounds.AcknowledgeMs, 0.1), signpost.Ms(s.Bounds.AcknowledgeMs, 0.04)
+	cel, err := cellar.Open(s.DataDirectory, slow, again)
 	for until := time.Now().Add(signpost.Ms(s.Bounds.AcknowledgeMs, 2)); err != nil && time.Now().Before(until); {
 		// A disk in trouble often comes back; ending and starting anew would be no better.
 		logbook.Log(logbook.DiskTrouble, "err", err)
-		time.Sleep(signpost.Ms(s.Bounds.AcknowledgeMs, 0.04))
-		cel, err = cellar.Open(s.DataDirectory, signpost.Ms(s.Bounds.AcknowledgeMs, 0.1), signpost.Ms(s.Bounds.AcknowledgeMs, 0.04))
+		time.Sleep(again)
+		cel, err = cellar.Open(s.DataDirectory, slow, again)
 	}
 	if err != nil {
 		return nil, err
@@ -608,15 +608,15 @@
 		if m.Stamp.Less(h.table.Stamp) {
 			news = true
 			if !m.Brief {
-				h.tell1(&say, m.Stamp)
+				h.tellTable(&say, m.Stamp)
 			}
 		}
 	}
 	return say, news || s.Slot > m.Slot && s.Version > 0
 }
 
-// tell1 adds the table, or what changed since the one that is held.
-func (h *hut) tell1(say *watchSay, held hutbook.Stamp) {
+// tellTable adds the table, or what changed since the one that is held.
+func (h *hut) tellTable(say *watchSay, held hutbook.Stamp) {
 	for _, t := range h.past {
 		if t.Stamp == held {
 			say.Delta = hutbook.Diff(t, h.table)
@@ -654,8 +654,8 @@
 		}
 	}
 	slices.SortFunc(r.Fronts, func(a, b saddle.Front) int { return strings.Compare(a.Name, b.Name) })
-	if is := fmt.Sprint(r.Fronts); is != h.rolled {
-		h.rolled = is
+	if !slices.Equal(r.Fronts, h.rolled) {
+		h.rolled = slices.Clone(r.Fronts)
 		h.rollN++
 	}
 	// Another life of this hut must not be taken for this one.
--- a/internal/lodge/larder.go
+++ b/internal/lodge/larder.go
@@ -1,7 +1,6 @@
 package lodge
 
 import (
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -79,7 +78,6 @@
 	shelf    *larder.Shelf
 	stove    *larder.Stove
 	ceilings map[string]*rations.Ceiling
-	refresh  map[string]bool
 	kick     chan struct{}
 	fetched  int64
 	ids      int64
@@ -202,11 +200,9 @@
 		etag = old.ETag
 	}
 	aim := k.n.heartbeat(0.5)
-	if snap := k.t.head.Current(); snap != nil {
-		if r := snap.Map.Match(f.Host, pathOnly(f.Target)); r != nil {
-			aim = r.Target
-			until = f.Began + r.Timeout
-		}
+	if r := k.t.route(f.Host, f.Target); r != nil {
+		aim = r.Target
+		until = f.Began + r.Timeout
 	}
 	peer, start := k.t.rng.Choose(f.Service, nil, nil, aim, false)
 	if peer == nil {
@@ -265,10 +261,8 @@
 			k.wake()
 			return
 		}
-		if snap := k.t.head.Current(); snap != nil {
-			if r := snap.Map.Match(f.Host, pathOnly(f.Target)); r != nil && r.Cached && r.Lifetime > 0 {
-				k.shelf.Put(c)
-			}
+		if r := k.t.route(f.Host, f.Target); r != nil && r.Cached && r.Lifetime > 0 {
+			k.shelf.Put(c)
 		}
 		f.Copy = c
 	}
@@ -288,15 +282,6 @@
 	k.stove.End(f, status, why)
 }
 
-func pathOnly(target string) string {
-	for i := range target {
-		if target[i] == '?' {
-			return target[:i]
-		}
-	}
-	return target
-}
-
 // bring gives a copy that may be served, fetching it if need be; it waits at
 // most for wait, and then tells that it is under way.
 func (k *kitchen) bring(a larderAsk, lifetime time.Duration, sends func(string) bool) (larderSay, []byte) {
@@ -385,22 +370,13 @@
 	if !rope.Read(c, &a) {
 		return
 	}
-	snap := k.t.head.Current()
-	var s larderSay
+	s := larderSay{Status: 503}
 	var body []byte
-	if snap == nil || a.LeftMs <= 0 {
-		s = larderSay{Status: 503}
-	} else if r := snap.Map.Match(a.Host, pathOnly(a.Target)); r == nil || !r.Cached || !r.Sends(a.Service) {
-		s = larderSay{Status: 503}
-	} else {
+	if r := k.t.route(a.Host, a.Target); r != nil && a.LeftMs > 0 && r.Cached && r.Sends(a.Service) {
 		s, body = k.bring(a, r.Lifetime, r.Sends)
 	}
-	js, err := json.Marshal(s)
-	if err != nil {
-		js = []byte(`{"X":502}`)
-	}
 	c.SetStatusCode(200)
-	c.Response.Header.Set(headerLarder, string(js))
+	c.Response.Header.Set(headerLarder, string(encode("larder", s)))
 	c.Response.Header.SetContentType("application/octet-stream")
 	c.Response.SetBodyRaw(body)
 }
@@ -413,7 +389,7 @@
 			return
 		case <-time.After(k.n.heartbeat(0.5)):
 		}
-		if _, listed := k.t.listed(); listed || k.n.leaving.Load() {
+		if l := k.t.larders.Load(); l != nil && l.on || k.n.leaving.Load() {
 			continue
 		}
 		self := cairn.Larder{Name: k.n.set().NodeName, IP: k.n.set().IpAddress, Zone: k.n.set().Zone}
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -120,10 +120,9 @@
 	Out int `json:",omitempty"`
 	// HoldMs is how long the front lets the hut hold the call.
 	HoldMs int64
-	// Version and Purge are the newest that the node holds; a Purge below 0
-	// asks for the last purge's number alone.
-	Version int64
-	Purge   int64
+	// Purge is the last that the node knows of; below 0 it asks for the last
+	// purge's number alone.
+	Purge int64
 	// Brief: the table itself is not wanted, only word of it.
 	Brief bool `json:",omitempty"`
 	// First: the node watches this hut before others, and is on its roll.
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -19,7 +19,6 @@
 	"swiftswitch/internal/fork"
 	"swiftswitch/internal/gather"
 	"swiftswitch/internal/hutbook"
-	"swiftswitch/internal/larder"
 	"swiftswitch/internal/logbook"
 	"swiftswitch/internal/rations"
 	"swiftswitch/internal/rope"
@@ -106,7 +105,6 @@
 	picked []string
 	bad    map[string]time.Duration
 	counts map[string]int
-	nodes  int
 	// held is what the watchers tell the huts that this node holds.
 	held     atomic.Pointer[holds]
 	fetching atomic.Bool
@@ -161,10 +159,11 @@
 	}
 	t.pantry = trailhead.NewPantry(int(memory*opt.Shelf), n.steady, t)
 	t.head.SetPantry(t.pantry)
-	t.kitchen = newKitchen(n, t, int(memory*opt.Shelf/4))
 	if t.larder {
 		t.kitchen = newKitchen(n, t, int(memory*opt.LarderShelf))
 		n.kitchen = t.kitchen
+	} else {
+		t.kitchen = newKitchen(n, t, int(memory*opt.Shelf/4))
 	}
 	t.board = switchback.New(switchback.Options{
 		R: opt.Slots, Least: 2, Lease: n.heartbeat(opt.LeaseBeats), Wait: signpost.Ms(b.ConfigEffectMs, opt.SwitchWait),
@@ -217,6 +216,13 @@
 	return 2
 }
 
+// hash draws the same number for a name on every node.
+func hash(name string) uint64 {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(name))
+	return f.Sum64()
+}
+
 // pick chooses the huts to watch: one more than may be lost at once, the
 // nearest first, those that did not answer lately last. However many fronts
 // and huts there are, a front holds that many calls. It runs on the desk.
@@ -228,9 +234,7 @@
 		if now < t.bad[h.IP] {
 			bad = 1
 		}
-		f := fnv.New64a()
-		_, _ = f.Write([]byte(n.set().NodeName + " " + h.IP))
-		return bad, n.distance(h.Zone), f.Sum64()
+		return bad, n.distance(h.Zone), hash(n.set().NodeName + " " + h.IP)
 	}
 	slices.SortFunc(order, func(a, b hutAt) int {
 		ab, ad, ah := rank(a)
@@ -277,7 +281,7 @@
 		}
 		h := t.held.Load()
 		ask := watchAsk{
-			Name: n.set().NodeName, IP: n.set().IpAddress, Slot: h.slot, Version: h.version, Purge: h.purge, Stamp: h.stamp, Brief: brief && !first,
+			Name: n.set().NodeName, IP: n.set().IpAddress, Slot: h.slot, Purge: h.purge, Stamp: h.stamp, Brief: brief && !first,
 			Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out(), HoldMs: hold.Milliseconds(),
 			First: first, Larder: t.larder, Roster: first && t.rosterDue(),
 		}
@@ -365,11 +369,7 @@
 		t.setLarders(say.Larders)
 	}
 	if h := t.held.Load(); say.Purge > h.purge && (h.purge >= 0 || len(say.Huts) > 0) {
-		var list []larder.Purge
-		for _, p := range say.Purges {
-			list = append(list, larder.Purge{N: p.N, Host: p.Host, Path: p.Path, Tag: p.Tag})
-		}
-		t.pantry.Take(say.Purge, say.Floor, list)
+		t.pantry.Take(say.Purge, say.Floor, say.Purges)
 		t.hold(func(h *holds) { h.purge = say.Purge })
 	}
 	delete(t.bad, ip)
@@ -378,9 +378,7 @@
 	for _, c := range t.counts {
 		most = max(most, c)
 	}
-	if most != t.nodes {
-		t.nodes = most
-		t.fronts.Store(int64(most))
+	if t.fronts.Swap(int64(most)) != int64(most) {
 		t.ledger.SetNodes(most)
 		if !t.larder {
 			t.rng.SetShare(most)
@@ -629,7 +627,7 @@
 	st.Fetched, st.Purge = t.kitchen.count(), t.pantry.Known()
 	st.Part, _ = t.parts()
 	t.desk.ask(func() {
-		st.Slot, st.LastBuilt, st.Current, st.Fronts = t.held.Load().slot, t.board.LastBuilt, t.board.Current.Version, t.nodes
+		st.Slot, st.LastBuilt, st.Current, st.Fronts = t.held.Load().slot, t.board.LastBuilt, t.board.Current.Version, int(t.fronts.Load())
 		if t.board.Next != nil {
 			st.Next = t.board.Next.Version
 		}
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -24,7 +24,6 @@
 	InvariantBroken  Event = 1008
 
 	MessageRefused Event = 2001
-	PeerSilent     Event = 2002
 
 	GenesisVoters  Event = 3001
 	ConfigChosen   Event = 3002
@@ -51,7 +50,6 @@
 	PurgeUnsettled Event = 7002
 	LarderListed   Event = 7003
 	LarderStruck   Event = 7004
-	LarderCleared  Event = 7005
 
 	CutNext     Event = 5001
 	CutSwitched Event = 5002
@@ -84,7 +82,6 @@
 	{ListenFailed, "listen-failed", "error", "An address can't be listened on."},
 	{InvariantBroken, "invariant-broken", "error", "Something that can't be was seen; the process ends."},
 	{MessageRefused, "message-refused", "warn", "A malformed message from a node was refused."},
-	{PeerSilent, "peer-silent", "info", "A core node has not been heard for the time that counts as down."},
 	{GenesisVoters, "genesis-voters", "info", "First start: the seeds are the voters."},
 	{ConfigChosen, "config-chosen", "info", "A majority chose a configuration."},
 	{VotersChosen, "voters-chosen", "info", "A majority chose another set of voters."},
@@ -115,7 +112,6 @@
 	{PurgeUnsettled, "purge-unsettled", "warn", "No majority agreed on a purge in time; the operator sends it again."},
 	{LarderListed, "larder-listed", "info", "This node is one of those that keep copies and may fetch."},
 	{LarderStruck, "larder-struck", "warn", "Nodes that kept copies have been silent and are off the list; the others take their part."},
-	{LarderCleared, "larder-cleared", "info", "This node has its part of the ceilings and fetches."},
 	{RequestRefused, "request-refused", "debug", "A malformed or oversize request was refused."},
 	{AnswerBroken, "answer-broken", "debug", "A searcher's bytes formed no answer, or too many; its connection was ended."},
 }
--- a/internal/trailhead/across.go
+++ b/internal/trailhead/across.go
@@ -64,7 +64,7 @@
 	if !ok {
 		return saddle.Say{}, false
 	}
-	route := snap.Map.Match(req.Host, pathOf(req.Target))
+	route := snap.Map.Match(req.Host, req.Target)
 	if route == nil {
 		return saddle.Say{}, false
 	}
--- a/internal/trailhead/cached.go
+++ b/internal/trailhead/cached.go
@@ -193,7 +193,7 @@
 			// It was the refusal of another that had not waited yet.
 			continue
 		case got.Status == 503 && got.Back > 0:
-			v.c.Response.Header.Set("Retry-After", strconv.FormatFloat(got.Back.Seconds(), 'f', 3, 64))
+			h.comeBack(v, got.Back)
 			v.c.SetStatusCode(503)
 			v.c.Response.SetBodyString("the object can't be fetched now\n")
 			return false
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -154,8 +154,11 @@
 
 // retryAfter tells the client when to come back.
 func (h *Head) retryAfter(v *visit, target time.Duration) {
-	wait := float64(target) * h.opt.RetryIn * (0.5 + rand.Float64()) / float64(time.Second)
-	v.c.Response.Header.Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+	h.comeBack(v, time.Duration(float64(target)*h.opt.RetryIn*(0.5+rand.Float64())))
+}
+
+func (h *Head) comeBack(v *visit, in time.Duration) {
+	v.c.Response.Header.Set("Retry-After", strconv.FormatFloat(in.Seconds(), 'f', 3, 64))
 }
 
 // pin takes the snapshot that the request keeps to its end.
@@ -202,17 +205,12 @@
 
 // route finds the route, or there is none.
 func (h *Head) route(v *visit) bool {
-	if v.route = v.snap.Map.Match(v.req.Host, pathOf(v.req.Target)); v.route == nil {
+	if v.route = v.snap.Map.Match(v.req.Host, v.req.Target); v.route == nil {
 		return h.refuse(v, 404, "no route")
 	}
 	return true
 }
 
-func pathOf(target string) string {
-	path, _, _ := strings.Cut(target, "?")
-	return path
-}
-
 // times sets the bounds of the request.
 func (h *Head) times(v *visit) bool {
 	limit := v.route.Timeout
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -132,7 +132,9 @@
 	services map[string][]*Peer
 	tracks   map[string]*track
 	share    int
-	scores   []float64
+	// near and scores are room for Choose to work in.
+	near   []*Peer
+	scores []float64
 	// Silent and Full are told of searchers that fall silent or answer fully.
 	Silent func(id string)
 	Full   func(id string)
@@ -222,8 +224,7 @@
 	var best *Peer
 	bestScore := math.Inf(1)
 	t := g.track(service)
-	var close []*Peer
-	scores := g.scores[:0]
+	near, scores := g.near[:0], g.scores[:0]
 	for _, p := range g.services[service] {
 		if holders != nil && !contains(holders, p.ID) || has(not, p) {
 			continue
@@ -241,25 +242,25 @@
 		if s >= left {
 			continue
 		}
-		if len(close) > 0 && p.far < close[0].far {
-			close, scores = close[:0], scores[:0]
+		if len(near) > 0 && p.far < near[0].far {
+			near, scores = near[:0], scores[:0]
 		}
-		if len(close) == 0 || p.far == close[0].far {
-			close, scores = append(close, p), append(scores, s)
+		if len(near) == 0 || p.far == near[0].far {
+			near, scores = append(near, p), append(scores, s)
 		}
 	}
-	g.scores = scores
-	if len(close) >= g.opt.Many {
+	g.near, g.scores = near, scores
+	if len(near) >= g.opt.Many {
 		// All fronts know about the same: were each to take the best, they
 		// would meet there. The better of two drawn spreads them.
-		i, j := rand.IntN(len(close)), rand.IntN(len(close)-1)
+		i, j := rand.IntN(len(near)), rand.IntN(len(near)-1)
 		if j >= i {
 			j++
 		}
 		if scores[j] < scores[i] {
 			i = j
 		}
-		best = close[i]
+		best = near[i]
 	}
 	if best == nil {
 		return nil, now
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -66,16 +66,6 @@
 	return now - d.since
 }
 
-// others tells whether any other node that may have the duty lives.
-func (d *Duty) others(now time.Duration) bool {
-	for _, id := range d.order {
-		if id != d.Self && d.Live(id, now) {
-			return true
-		}
-	}
-	return false
-}
-
 // First is the first live node in the order.
 func (d *Duty) First(now time.Duration) string {
 	for _, id := range d.order {
@@ -96,7 +86,14 @@
 func (d *Duty) Holds() bool { return d.mine && d.Holder == d.Self }
 
 // Alone tells whether nobody else could have the duty.
-func (d *Duty) Alone(now time.Duration) bool { return !d.others(now) }
+func (d *Duty) Alone(now time.Duration) bool {
+	for _, id := range d.order {
+		if id != d.Self && d.Live(id, now) {
+			return false
+		}
+	}
+	return true
+}
 
 // Mine tells whether this node has the duty, taking it under the next epoch
 // where it is first and did not take the present one in this life. Right
