--- a/internal/hutbook/hutbook.go
+++ b/internal/hutbook/hutbook.go
@@ -1,6 +1,9 @@
 package hutbook
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // Stamp orders tables: the duty's epoch, then its holder, then a count.
 type Stamp struct {
@@ -41,56 +44,78 @@
 	Searchers []Searcher
 }
 
-// Delta is what changed between two tables.
+// Delta is what changed between two tables. Searchers that only began to
+// drain, or are no longer cold, are named by their entries alone, like those
+// that are gone.
 type Delta struct {
 	From, To  Stamp
 	NextEntry int64
 	Set       []Searcher `json:",omitempty"`
-	Gone      []string   `json:",omitempty"`
+	Drains    []int64    `json:",omitempty"`
+	Warm      []int64    `json:",omitempty"`
+	Gone      []int64    `json:",omitempty"`
 }
 
-// Diff gives the way from one table to another.
+// Diff gives the way from one table to another, or from none to the first.
 func Diff(from, to *Table) *Delta {
+	if from == nil {
+		from = &Table{}
+	}
 	d := &Delta{From: from.Stamp, To: to.Stamp, NextEntry: to.NextEntry}
-	was := map[string]Searcher{}
+	was := map[int64]Searcher{}
 	for _, s := range from.Searchers {
-		was[s.ID] = s
+		was[s.Entry] = s
 	}
 	for _, s := range to.Searchers {
-		if old, ok := was[s.ID]; !ok || old != s {
+		old, ok := was[s.Entry]
+		delete(was, s.Entry)
+		if ok && old == s {
+			continue
+		}
+		drains, warm := !old.Drains && s.Drains, old.Cold && !s.Cold
+		old.Drains, old.Cold = s.Drains, s.Cold
+		if !ok || old != s || !drains && !warm {
 			d.Set = append(d.Set, s)
+			continue
+		}
+		if drains {
+			d.Drains = append(d.Drains, s.Entry)
+		}
+		if warm {
+			d.Warm = append(d.Warm, s.Entry)
 		}
-		delete(was, s.ID)
 	}
-	for id := range was {
-		d.Gone = append(d.Gone, id)
+	for entry := range was {
+		d.Gone = append(d.Gone, entry)
 	}
-	sort.Strings(d.Gone)
+	slices.Sort(d.Gone)
 	return d
 }
 
 // Follow gives the table after the delta, or nil where that does not fit.
 func (t *Table) Follow(d *Delta) *Table {
-	if t == nil || t.Stamp != d.From {
+	if t == nil {
+		t = &Table{}
+	}
+	if t.Stamp != d.From {
 		return nil
 	}
-	set := map[string]Searcher{}
+	set := map[int64]Searcher{}
 	for _, s := range d.Set {
-		set[s.ID] = s
-	}
-	gone := map[string]bool{}
-	for _, id := range d.Gone {
-		gone[id] = true
+		set[s.Entry] = s
 	}
+	drains, warm, gone := entries(d.Drains), entries(d.Warm), entries(d.Gone)
 	n := &Table{Stamp: d.To, NextEntry: d.NextEntry}
 	for _, s := range t.Searchers {
-		if gone[s.ID] {
+		if gone[s.Entry] {
 			continue
 		}
-		if now, ok := set[s.ID]; ok {
+		if now, ok := set[s.Entry]; ok {
 			s = now
-			delete(set, s.ID)
+			delete(set, s.Entry)
 		}
+		s.Drains = s.Drains || drains[s.Entry]
+		s.Cold = s.Cold && !warm[s.Entry]
 		n.Searchers = append(n.Searchers, s)
 	}
 	for _, s := range set {
@@ -100,6 +125,14 @@
 	return n
 }
 
+func entries(l []int64) map[int64]bool {
+	m := make(map[int64]bool, len(l))
+	for _, e := range l {
+		m[e] = true
+	}
+	return m
+}
+
 // Merge gives the newer of two tables; a table from a lower epoch is refused.
 func Merge(a, b *Table) *Table {
 	switch {
--- a/internal/hutbook/hutbook_test.go
+++ b/internal/hutbook/hutbook_test.go
@@ -27,17 +27,21 @@
 	}
 }
 
-// What changed between two tables leads from one to the other, and to nothing else.
+// What changed between two tables leads from one to the other, and to nothing
+// else; flags that change travel as numbers alone.
 func TestDelta(t *testing.T) {
-	a, _ := Next(nil, []Searcher{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Stamp{Epoch: 1, Seq: 1})
-	b, _ := Next(a, []Searcher{{ID: "a"}, {ID: "c", Drains: true}, {ID: "d"}}, Stamp{Epoch: 1, Seq: 2})
+	a, _ := Next(nil, []Searcher{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "e", Cold: true}, {ID: "f"}}, Stamp{Epoch: 1, Seq: 1})
+	b, _ := Next(a, []Searcher{{ID: "a"}, {ID: "c", Drains: true}, {ID: "d"}, {ID: "e"}, {ID: "f", Cold: true}}, Stamp{Epoch: 1, Seq: 2})
 	d := Diff(a, b)
-	if len(d.Set) != 2 || len(d.Gone) != 1 {
+	if len(d.Set) != 2 || len(d.Gone) != 1 || len(d.Drains) != 1 || len(d.Warm) != 1 {
 		t.Fatalf("%+v", d)
 	}
 	if got := a.Follow(d); !reflect.DeepEqual(got, b) {
 		t.Fatalf("%+v", got)
 	}
+	if got := (*Table)(nil).Follow(Diff(nil, b)); !reflect.DeepEqual(got, b) {
+		t.Fatalf("from nothing: %+v", got)
+	}
 	if b.Follow(d) != nil || (*Table)(nil).Follow(d) != nil {
 		t.Fatal("a delta was applied to another table")
 	}
--- a/internal/lodge/duty.go
+++ b/internal/lodge/duty.go
@@ -104,20 +104,17 @@
 			return
 		}
 		logbook.Log(logbook.ListChanged, "searchers", len(t.Searchers), "epoch", stamp.Epoch, "seq", stamp.Seq)
+		var held hutbook.Stamp
+		if h.table != nil {
+			held = h.table.Stamp
+		}
 		h.setTable(t)
-		h.spread(t)
+		for _, ip := range h.peers() {
+			h.bring(ip, held)
+		}
 	})
 }
 
-// spread pushes a table to the other huts; it runs on the desk.
-func (h *hut) spread(t *hutbook.Table) {
-	for _, ip := range h.peers() {
-		go func() {
-			_ = h.n.call.Ask(h.n.set().RopeAddr(ip), pathTable, t, nil, h.n.heartbeat(0.8))
-		}()
-	}
-}
-
 // merge takes a table of another hut; it runs on the desk.
 func (h *hut) merge(t *hutbook.Table) {
 	if t.Stamp.Epoch < h.duty.Epoch && h.table != nil {
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -1,8 +1,6 @@
 package lodge
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
@@ -42,6 +40,7 @@
 	packed map[int64]packedVersion
 	// past holds the last few tables, to tell what changed since them.
 	past   []*hutbook.Table
+	deltas map[hutbook.Stamp][]byte
 	duty   *warden.Duty
 	depot  *depot.Depot
 	fronts map[string]frontSeen
@@ -143,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{}), rolls: map[string]rollSeen{}, known: map[string]knownFront{}, keepers: map[string]time.Duration{}, purges: make(chan *purgeWait, 1024), packed: map[int64]packedVersion{}}
+	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{}), rolls: map[string]rollSeen{}, known: map[string]knownFront{}, keepers: map[string]time.Duration{}, purges: make(chan *purgeWait, 1024), packed: map[int64]packedVersion{}, deltas: map[hutbook.Stamp][]byte{}}
 	var rec ballotRecord
 	var body bodyRecord
 	var ep epochRecord
@@ -227,11 +226,7 @@
 				p.say.From, p.say.Gone, raw = m.Version, d.Gone, d.Body
 			}
 		}
-		var buf bytes.Buffer
-		z := gzip.NewWriter(&buf)
-		_, _ = z.Write(raw)
-		_ = z.Close()
-		p.body = buf.Bytes()
+		p.body = pack(raw)
 		if len(h.packed) < 2*bodiesKept {
 			h.packed[m.Version] = p
 		}
@@ -363,11 +358,19 @@
 			rope.Answer(c, 200, m)
 		}
 	case pathTable:
-		var t hutbook.Table
-		if rope.Read(c, &t) {
-			h.desk.ask(func() { h.merge(&t) })
-			rope.Answer(c, 200, struct{}{})
+		var m tableAsk
+		if !rope.Read(c, &m) {
+			return true
+		}
+		d, err := unpackDelta(m.Delta, h.n.maxMessage())
+		if err != nil {
+			logbook.Log(logbook.MessageRefused, "path", pathTable, "from", c.RemoteAddr(), "err", err)
+			rope.Answer(c, 400, map[string]string{"Error": err.Error()})
+			return true
 		}
+		var say tableSay
+		h.desk.ask(func() { say.Stamp = h.takeDelta(d) })
+		rope.Answer(c, 200, say)
 	case pathEnlist:
 		var l cairn.Larder
 		if !rope.Read(c, &l) {
@@ -462,9 +465,7 @@
 		go h.handOver(b.IP, h.acc.State)
 	}
 	if t := h.table; t != nil && b.Stamp.Less(t.Stamp) {
-		go func() {
-			_ = h.n.call.Ask(h.n.set().RopeAddr(b.IP), pathTable, t, nil, h.n.heartbeat(0.8))
-		}()
+		h.bring(b.IP, b.Stamp)
 	}
 }
 
@@ -558,6 +559,9 @@
 			say, news = h.say(m)
 			changed = h.changed
 		})
+		if m.Hello {
+			return say
+		}
 		if news && m.Brief && !late {
 			// Whoever is watched first brings it sooner; what follows goes along.
 			select {
@@ -598,7 +602,7 @@
 		}
 	}
 	say.Lone = heard < len(s.Voters)/2+1
-	if m.Roster || s.Slot > m.Slot {
+	if m.Roster || m.Hello || s.Slot > m.Slot {
 		for _, v := range s.Voters {
 			say.Huts = append(say.Huts, hutAt{v.IP, h.zoneOf(v.IP)})
 		}
@@ -614,23 +618,60 @@
 		say.Stamp = h.table.Stamp
 		if m.Stamp.Less(h.table.Stamp) {
 			news = true
-			if !m.Brief {
-				h.tellTable(&say, m.Stamp)
+			if !m.Brief && !m.Hello {
+				say.Delta = h.delta(m.Stamp)
 			}
 		}
 	}
 	return say, news || s.Slot > m.Slot && s.Version > 0
 }
 
-// tellTable adds the table, or what changed since the one that is held.
-func (h *hut) tellTable(say *watchSay, held hutbook.Stamp) {
+// delta is what changed in the table since the one that is held, packed once
+// for all who hold that; it runs on the desk.
+func (h *hut) delta(held hutbook.Stamp) []byte {
+	var from *hutbook.Table
 	for _, t := range h.past {
 		if t.Stamp == held {
-			say.Delta = hutbook.Diff(t, h.table)
-			return
+			from = t
 		}
 	}
-	say.Table = h.table
+	if from == nil {
+		held = hutbook.Stamp{}
+	}
+	d, ok := h.deltas[held]
+	if !ok {
+		d = pack(encode("delta", hutbook.Diff(from, h.table)))
+		h.deltas[held] = d
+	}
+	return d
+}
+
+// bring tells another hut what changed in the table; it runs on the desk.
+func (h *hut) bring(ip string, held hutbook.Stamp) {
+	stamp, d, whole := h.table.Stamp, h.delta(held), h.delta(hutbook.Stamp{})
+	go func() {
+		addr, within := h.n.set().RopeAddr(ip), h.n.heartbeat(0.8)
+		var say tableSay
+		if err := h.n.call.Ask(addr, pathTable, tableAsk{d}, &say, within); err == nil && say.Stamp.Less(stamp) {
+			_ = h.n.call.Ask(addr, pathTable, tableAsk{whole}, &say, within)
+		}
+	}()
+}
+
+// takeDelta takes a change of the table from another hut and tells which table
+// there is now; it runs on the desk.
+func (h *hut) takeDelta(d *hutbook.Delta) hutbook.Stamp {
+	from := h.table
+	if d.From == (hutbook.Stamp{}) {
+		from = nil
+	}
+	if t := from.Follow(d); t != nil {
+		h.merge(t)
+	}
+	if h.table == nil {
+		return hutbook.Stamp{}
+	}
+	return h.table.Stamp
 }
 
 // setTable puts a newer table in force; it runs on the desk.
@@ -640,6 +681,7 @@
 		h.past = h.past[max(0, len(h.past)-pastKept):]
 	}
 	h.table = t
+	clear(h.deltas)
 	h.put(recTable, t, nil)
 	h.announce()
 }
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -108,6 +108,16 @@
 	Slot  int64
 }
 
+// tableAsk brings another hut what changed in the table; tableSay tells which
+// table it has then.
+type tableAsk struct {
+	Delta []byte
+}
+
+type tableSay struct {
+	Stamp hutbook.Stamp
+}
+
 type watchAsk struct {
 	Name  string
 	IP    string
@@ -131,6 +141,8 @@
 	Larder bool `json:",omitempty"`
 	// Roster: the node wants to know some fronts of each zone.
 	Roster bool `json:",omitempty"`
+	// Hello: the node wants to know at once where the huts are, and nothing else.
+	Hello bool `json:",omitempty"`
 }
 
 type watchSay struct {
@@ -140,9 +152,8 @@
 	Slot    int64
 	Version int64
 	Stamp   hutbook.Stamp
-	// Table is the table whole, Delta what changed since the one held.
-	Table *hutbook.Table `json:",omitempty"`
-	Delta *hutbook.Delta `json:",omitempty"`
+	// Delta is what changed in the table since the one held, packed.
+	Delta []byte `json:",omitempty"`
 	// Fronts is how many fronts there are, Around in the asker's region, Here in its zone.
 	Fronts int
 	Around int `json:",omitempty"`
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -1,12 +1,9 @@
 package lodge
 
 import (
-	"bytes"
 	"cmp"
-	"compress/gzip"
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -110,6 +107,8 @@
 	// config is the newest configuration that was fetched.
 	config atomic.Pointer[signpost.Configuration]
 
+	// placed: the node knows where the huts are, and so which is the nearest.
+	placed atomic.Bool
 	// rosterAt is when the node last asked for other fronts.
 	rosterAt atomic.Int64
 
@@ -251,7 +250,7 @@
 // watch keeps asking one hut for news, as long as it is one of those picked.
 func (t *trail) watch(ip string) {
 	n := t.n
-	brief := false
+	brief := true
 	fails := 0
 	hold := n.heartbeat(1)
 	for {
@@ -275,7 +274,7 @@
 		ask := watchAsk{
 			Name: n.set().NodeName, IP: n.set().IpAddress, Slot: h.slot, Purge: h.purge, Stamp: h.stamp, Brief: brief && !first,
 			Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out(), HoldMs: hold.Milliseconds(),
-			First: first, Larder: t.larder, Roster: first && t.rosterDue(),
+			First: first, Larder: t.larder, Roster: first && t.rosterDue(), Hello: !t.placed.Load(),
 		}
 		var say watchSay
 		err := n.call.Ask(n.set().RopeAddr(ip), pathWatch, ask, &say, hold+n.heartbeat(0.8))
@@ -297,7 +296,20 @@
 			continue
 		}
 		fails = 0
-		t.desk.ask(func() { t.news(ip, say) })
+		var d *hutbook.Delta
+		if say.Delta != nil {
+			if d, err = unpackDelta(say.Delta, n.maxMessage()); err != nil {
+				logbook.Log(logbook.MessageRefused, "from", ip, "path", pathWatch, "err", err)
+				d = nil
+			}
+		}
+		t.desk.ask(func() { t.news(ip, say, d) })
+		if ask.Hello {
+			if !t.placed.Load() {
+				time.Sleep(n.heartbeat(0.1))
+			}
+			continue
+		}
 		behind := func() bool { return t.held.Load().stamp.Less(say.Stamp) }
 		late := func() bool { return t.held.Load().version < say.Version }
 		if !first && (behind() || late()) {
@@ -340,9 +352,10 @@
 }
 
 // news takes what a hut said; it runs on the desk.
-func (t *trail) news(ip string, say watchSay) {
+func (t *trail) news(ip string, say watchSay, d *hutbook.Delta) {
 	if len(say.Huts) > 0 && say.Slot >= t.held.Load().slot {
 		t.huts = say.Huts
+		t.placed.Store(true)
 		t.pick()
 		for _, h := range say.Huts {
 			t.n.view.post(func() { t.n.way.Add(waymark.Node{Name: "hut-" + h.IP, IP: h.IP, Zone: h.Zone, Hut: true}) })
@@ -376,16 +389,14 @@
 	if !t.larder {
 		t.rng.SetShare(most)
 	}
-	if say.Delta != nil {
-		say.Table = t.table.Follow(say.Delta)
-	}
-	if say.Table != nil && (t.table == nil || t.table.Stamp.Less(say.Table.Stamp)) {
-		t.table = say.Table
-		t.hold(func(h *holds) { h.stamp = say.Table.Stamp })
-		t.rng.SetTable(t.table)
-		t.board.Listed(t.table, t.n.steady())
-		t.tick()
-		t.publish()
+	if d != nil && (t.table == nil || t.table.Stamp.Less(d.To)) {
+		from := t.table
+		if d.From == (hutbook.Stamp{}) {
+			from = nil
+		}
+		if table := from.Follow(d); table != nil {
+			t.setTable(table)
+		}
 	}
 	t.hold(func(h *holds) {
 		if say.Version <= h.version {
@@ -394,6 +405,16 @@
 	})
 }
 
+// setTable takes a newer table; it runs on the desk.
+func (t *trail) setTable(table *hutbook.Table) {
+	t.table = table
+	t.hold(func(h *holds) { h.stamp = table.Stamp })
+	t.rng.SetTable(table)
+	t.board.Listed(table, t.n.steady())
+	t.tick()
+	t.publish()
+}
+
 // hold changes what this node tells that it holds; it runs on the desk.
 func (t *trail) hold(change func(h *holds)) {
 	h := *t.held.Load()
@@ -422,7 +443,7 @@
 		return
 	}
 	// Large ones take a while to read: not on the desk.
-	c, err := unpack(rep.Body)
+	c, err := t.unpackVersion(rep.Body)
 	if err == nil && say.From > 0 {
 		if have == nil || have.Version != say.From {
 			return
@@ -437,13 +458,9 @@
 	t.desk.ask(func() { t.take(say, c, time.Since(start)) })
 }
 
-// unpack reads a gzipped configuration.
-func unpack(body []byte) (*signpost.Configuration, error) {
-	z, err := gzip.NewReader(bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	raw, err := io.ReadAll(z)
+// unpackVersion reads a packed configuration.
+func (t *trail) unpackVersion(body []byte) (*signpost.Configuration, error) {
+	raw, err := unpack(body, t.n.maxMessage())
 	if err != nil {
 		return nil, err
 	}
