--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -139,7 +139,7 @@
 		FarPenalty: opt.FarPenalty, Many: 5, Self: s.NodeName, Forget: signpost.Ms(b.InTouchMs, 0.75),
 	})
 	t.ledger = rations.New(rations.Rules{
-		Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: signpost.Sec(b.RetryWindowS, 1), Keep: opt.BudgetKeep,
+		Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: signpost.Sec(b.RetryWindowS, 1), Keep: opt.BudgetKeep, Young: 0.3,
 	}, n.steady())
 	guide := &gather.Guide{Range: t.rng, Ledger: t.ledger, Pool: pool, Steady: n.steady, HedgeAt: opt.HedgeAt}
 	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5), Crowd: opt.Crowd}, guide)
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -55,12 +55,13 @@
 	CutSwitched Event = 5002
 	SlotFreed   Event = 5003
 
-	FrontReady     Event = 6001
-	FrontUnready   Event = 6002
-	SearcherOut    Event = 6003
-	SearcherBack   Event = 6004
-	RequestRefused Event = 6005
-	AnswerBroken   Event = 6006
+	FrontReady      Event = 6001
+	FrontUnready    Event = 6002
+	SearcherOut     Event = 6003
+	SearcherBack    Event = 6004
+	RequestRefused  Event = 6005
+	AnswerBroken    Event = 6006
+	SearcherGarbles Event = 6007
 )
 
 // Entry is a line of the catalogue.
@@ -114,6 +115,7 @@
 	{LarderStruck, "larder-struck", "warn", "Nodes that kept copies have been silent and are off the list; the others take their part."},
 	{RequestRefused, "request-refused", "debug", "A malformed or oversize request was refused."},
 	{AnswerBroken, "answer-broken", "debug", "A searcher's bytes formed no answer, or too many; its connection was ended."},
+	{SearcherGarbles, "searcher-garbles", "warn", "A searcher sent bytes that belong to no request; its connections end, and for a while each carries one request only. See its own log."},
 }
 
 var (
--- a/internal/rations/rations.go
+++ b/internal/rations/rations.go
@@ -14,6 +14,10 @@
 	Window time.Duration
 	// Keep is the part of the budget that is used at most.
 	Keep float64
+	// Young is the part of its slack that a node may use before it has lived
+	// for a window; later it uses the rest, so that two lives of a node within
+	// one window stay within its share.
+	Young float64
 }
 
 // Ledger counts requests and further tries per service.
@@ -70,16 +74,19 @@
 	l.mu.Unlock()
 }
 
-// Further asks for one further try and counts it where it is granted. A
-// node that has not lived for a window has no share of the slack: what its
-// earlier life spent is unknown.
+// Further asks for one further try and counts it where it is granted. What a
+// node's earlier life spent is unknown: it never spends the part of the young.
 func (l *Ledger) Further(service string, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.row(service, now)
 	allowed := l.rules.Ratio * float64(r.sumA)
-	if now-l.born > l.rules.Window && l.share > 0 {
-		allowed += l.rules.Slack / float64(l.share)
+	if l.share > 0 {
+		part := 1 - l.rules.Young
+		if now-l.born <= l.rules.Window {
+			part = l.rules.Young
+		}
+		allowed += l.rules.Slack * part / float64(l.share)
 	}
 	if float64(r.sumF+1) > allowed*l.rules.Keep {
 		return false
--- a/internal/rope/conn.go
+++ b/internal/rope/conn.go
@@ -1,6 +1,7 @@
 package rope
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 	c    net.Conn
 	buf  []byte
 	r, w int
+	// skipped is what the last Skip passed over.
+	skipped []byte
 }
 
 func (b *reader) fill(n int) error {
@@ -50,9 +53,11 @@
 }
 
 func (b *reader) Skip(n int) error {
-	if _, err := b.Peek(n); err != nil {
+	p, err := b.Peek(n)
+	if err != nil {
 		return err
 	}
+	b.skipped = p
 	b.r += n
 	return nil
 }
@@ -116,6 +121,31 @@
 // ErrNoEnd says that an answer has no stated end, so that it can't be known to be whole.
 var ErrNoEnd = errors.New("answer without a stated end")
 
+// ErrFraming says that an answer's end is in doubt.
+var ErrFraming = errors.New("answer whose end is in doubt")
+
+// framed tells whether a head states the answer's end at most once, and in
+// lines that can be read in one way only.
+func framed(head []byte) bool {
+	_, rest, _ := bytes.Cut(head, []byte("\n"))
+	ends := 0
+	for len(rest) > 0 {
+		var l []byte
+		l, rest, _ = bytes.Cut(rest, []byte("\n"))
+		if l = bytes.TrimSuffix(l, []byte("\r")); len(l) == 0 {
+			continue
+		}
+		name, _, ok := bytes.Cut(l, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") || bytes.IndexByte(l, 0) >= 0 || bytes.IndexByte(l, '\r') >= 0 {
+			return false
+		}
+		if bytes.EqualFold(name, []byte("Content-Length")) || bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			ends++
+		}
+	}
+	return ends <= 1
+}
+
 // Exchange sends one request and reads its answer. sent tells whether any
 // byte may have gone out. After an error the connection must be closed.
 func (c *Conn) Exchange(request []byte, deadline time.Time, head bool, maxBody int, out *protocol.Response) (sent bool, err error) {
@@ -134,6 +164,9 @@
 		if err := resp.ReadHeader(&out.Header, &c.in); err != nil {
 			return true, err
 		}
+		if !framed(c.in.skipped) {
+			return true, ErrFraming
+		}
 		code := out.Header.StatusCode()
 		if code >= 200 && code <= 599 {
 			break
@@ -162,23 +195,29 @@
 
 // Quiet tells whether a kept connection is still open with nothing to read.
 func (c *Conn) Quiet() bool {
+	quiet, _ := c.Rested()
+	return quiet
+}
+
+// Rested tells whether a kept connection is still open with nothing to read,
+// and if not, whether bytes came that belong to no request.
+func (c *Conn) Rested() (quiet, surplus bool) {
 	if c.in.Len() > 0 {
-		return false
+		return false, true
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	quiet := false
 	// Not Read: it fails once the last exchange's deadline has passed.
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = e == unix.EAGAIN
+		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet, surplus = e == unix.EAGAIN, n > 0
 	})
-	return err == nil && quiet
+	return err == nil && quiet, surplus
 }
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -116,6 +116,8 @@
 	outs     int
 	outUntil time.Time
 	gone     bool
+	// doubtUntil: bytes came that belong to no request.
+	doubtUntil time.Time
 	// full and silent hold what the callbacks were last told.
 	full, silent bool
 }
@@ -412,13 +414,30 @@
 		c := p.idle[0]
 		p.idle = p.idle[1:]
 		g.mu.Unlock()
-		if now.Sub(c.IdleSince) < c.IdleFor && c.Quiet() {
+		quiet, surplus := c.Rested()
+		if surplus {
+			g.doubt(p, now)
+		} else if quiet && now.Sub(c.IdleSince) < c.IdleFor {
 			return c
 		}
 		c.Close()
 	}
 }
 
+// doubt notes that a searcher sent bytes that belong to no request. More may
+// be on their way on its other connections: they end, and for a while each
+// carries one request only.
+func (g *Range) doubt(p *Peer, now time.Time) {
+	g.mu.Lock()
+	shut := p.idle
+	p.idle, p.doubtUntil = nil, now.Add(g.opt.Forget)
+	g.mu.Unlock()
+	for _, c := range shut {
+		c.Close()
+	}
+	logbook.Log(logbook.SearcherGarbles, "searcher", p.ID)
+}
+
 // Try sends the request to a chosen searcher and waits for its answer until
 // the deadline. It never sends anything twice.
 func (g *Range) Try(p *Peer, r *Request, start, deadline time.Time) Outcome {
@@ -464,9 +483,13 @@
 		o.Verdict = NotRun
 	}
 	g.note(p, out)
-	if out.ConnectionClose() || c.Surplus() {
+	switch {
+	case c.Surplus():
+		g.doubt(p, time.Now())
 		c.Close()
-	} else {
+	case out.ConnectionClose():
+		c.Close()
+	default:
 		g.rest(p, c, out)
 	}
 	return o
@@ -517,7 +540,7 @@
 		}
 	}
 	g.mu.Lock()
-	if p.gone {
+	if p.gone || c.IdleSince.Before(p.doubtUntil) {
 		g.mu.Unlock()
 		c.Close()
 		return
