--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -547,7 +547,7 @@
 
 // handleWatch waits for news that the asker lacks, at most for a heartbeat.
 func (h *hut) handleWatch(m watchAsk) watchSay {
-	hold := max(h.n.heartbeat(0.2), min(h.n.heartbeat(3), time.Duration(m.HoldMs)*time.Millisecond))
+	hold := max(h.n.heartbeat(0.2), min(h.n.longHold(), time.Duration(m.HoldMs)*time.Millisecond))
 	until := time.NewTimer(hold)
 	defer until.Stop()
 	for late := false; ; {
--- a/internal/lodge/node.go
+++ b/internal/lodge/node.go
@@ -44,6 +44,10 @@
 
 func (n *Node) userTimeout() time.Duration { return signpost.Ms(n.set().Bounds.InTouchMs, 0.5) }
 
+// longHold is how long a call for news may be held at most: one that was lost
+// ends before a machine counts as in touch again.
+func (n *Node) longHold() time.Duration { return signpost.Ms(n.set().Bounds.InTouchMs, 0.75) }
+
 func (n *Node) heartbeat(ratio float64) time.Duration {
 	return signpost.Ms(n.set().HeartbeatIntervalMs, ratio)
 }
@@ -273,7 +277,7 @@
 		select {
 		case <-n.stop:
 			return
-		case <-time.After(time.Duration(float64(n.heartbeat(4)) * (0.75 + rand.Float64()/2))):
+		case <-time.After(time.Duration(float64(n.heartbeat(12)) * (0.75 + rand.Float64()/2))):
 		}
 		var partner waymark.Node
 		var offer []waymark.Node
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -146,7 +146,12 @@
 	if opt.Saddle {
 		t.choice = saddle.NewChoice(n.heartbeat(1))
 		t.head.SetAcross(t.choice, func(ip string, ask saddle.Ask, say *saddle.Say, within time.Duration) error {
-			return n.call.Ask(n.set().RopeAddr(ip), pathSaddle, ask, say, within)
+			err := n.call.Ask(n.set().RopeAddr(ip), pathSaddle, ask, say, within)
+			if err != nil {
+				// Others may do better.
+				t.rosterAt.Store(0)
+			}
+			return err
 		})
 	}
 	t.larder = opt.Role == RoleLarder
@@ -319,7 +324,7 @@
 		brief = !behind()
 		// The others are asked for news only: they may hold the call for longer.
 		if hold = n.heartbeat(1); !first {
-			hold = n.heartbeat(3)
+			hold = n.longHold()
 		}
 		for i := 0; late() && i < 20; i++ {
 			t.fetch(ip)
@@ -333,7 +338,7 @@
 // rosterDue tells whether it is time to ask for other fronts.
 func (t *trail) rosterDue() bool {
 	last := time.Duration(t.rosterAt.Load())
-	return last == 0 || t.n.steady()-last > t.n.heartbeat(2)
+	return last == 0 || t.n.steady()-last > t.n.heartbeat(5)
 }
 
 // more looks for huts in the view when those known don't answer.
