--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -59,13 +59,13 @@
 		RunE: func(_ *cobra.Command, a []string) error {
 			if len(a) > 0 {
 				if !slices.Contains(lodge.Roles, a[0]) {
-					return exit{exitBad, fmt.Errorf("there is no role %q; roles: %s", a[0], strings.Join(lodge.Roles, ", "))}
+					return exit{exitUsage, fmt.Errorf("there is no role %q; roles: %s", a[0], strings.Join(lodge.Roles, ", "))}
 				}
 				opt.Role = a[0]
 			}
 			logbook.SetDebug(debug)
-			if opt.Slots < 1 || opt.SwitchWait < 0 || opt.SwitchWait > 0.8 {
-				return exit{exitBad, fmt.Errorf("--slots must be at least 1 and --switch-wait between 0 and 0.8")}
+			if err := opt.Check(); err != nil {
+				return exit{exitUsage, err}
 			}
 			if profile != "" {
 				f, err := os.Create(profile)
