--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -68,6 +69,28 @@
 	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 6, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.89, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
 }
 
+// Check tells which option is out of its range, and what is allowed.
+func (o Options) Check() error {
+	if o.Slots < 1 {
+		return fmt.Errorf("--slots is %d: it must be at least 1", o.Slots)
+	}
+	for _, r := range []struct {
+		name           string
+		v, least, most float64
+	}{
+		{"shelf", o.Shelf, 0, 0.8}, {"larder-shelf", o.LarderShelf, 0, 0.8},
+		{"switch-wait", o.SwitchWait, 0, 0.8}, {"lease-beats", o.LeaseBeats, 0.1, 100},
+		{"hedge-at", o.HedgeAt, 0.01, 10}, {"soft", o.Soft, 0.01, 1}, {"late-worth", o.Late, 0, 1},
+		{"budget-keep", o.BudgetKeep, 0, 1}, {"far-penalty", o.FarPenalty, 0, 10}, {"crowd", o.Crowd, 0.1, 1000},
+	} {
+		// Written so that what is no number is out of range too.
+		if !(r.v >= r.least && r.v <= r.most) {
+			return fmt.Errorf("--%s is %v: it must be between %v and %v", r.name, r.v, r.least, r.most)
+		}
+	}
+	return nil
+}
+
 // trail is the part of a node that serves clients. Its tables belong to one desk.
 type trail struct {
 	n    *Node
@@ -101,6 +124,8 @@
 	picked []string
 	bad    map[string]time.Duration
 	counts map[string]traverse.Fronts
+	// warmed are the shards to which connections were opened ahead.
+	warmed map[string]bool
 	// held is what the watchers tell the huts that this node holds.
 	held     atomic.Pointer[holds]
 	fetching atomic.Bool
@@ -135,7 +160,7 @@
 	t.def = fork.Limits{Header: 16 << 10, Body: 1 << 20, HeaderTimeout: signpost.Ms(b.InTouchMs, 1), Idle: signpost.Ms(b.InTouchMs, 3)}
 	t.rng = traverse.New(traverse.Options{
 		Distance: n.distance, UserTimeout: n.userTimeout(), DialWithin: signpost.Ms(b.InTouchMs, 0.125), MaxBody: n.maxMessage(),
-		KeepIdle: signpost.Ms(b.InTouchMs, 1), FailsOut: 3, OutFor: signpost.Ms(b.InTouchMs, 0.2),
+		KeepIdle: signpost.Ms(b.InTouchMs, 1), KeepWarm: signpost.Ms(b.InTouchMs, 4), FailsOut: 3, OutFor: signpost.Ms(b.InTouchMs, 0.2),
 		FarPenalty: opt.FarPenalty, Many: 5, Self: s.NodeName, Forget: signpost.Ms(b.InTouchMs, 0.75),
 	})
 	t.ledger = rations.New(rations.Rules{
@@ -493,6 +518,7 @@
 
 // tick moves the rollout on; it runs on the desk.
 func (t *trail) tick() {
+	defer t.warm()
 	old := t.board.Current.Version
 	switched, ready := t.board.Tick(t.n.steady())
 	freed := t.board.TakeFreed()
@@ -534,6 +560,38 @@
 	}
 }
 
+// warm opens connections to searchers of shards that are asked now or after
+// the next switch, when they first have holders: one after the other, in an
+// order of this node's own; it runs on the desk.
+func (t *trail) warm() {
+	shards := t.board.Current.Shards
+	if t.board.Next != nil {
+		shards = slices.Concat(shards, t.board.Next.Shards)
+	}
+	warmed, cold := map[string]bool{}, map[string][]string{}
+	for _, s := range shards {
+		h := t.board.Holders(s)
+		if !t.warmed[s] && len(h) > 0 {
+			cold[s] = h
+		}
+		warmed[s] = len(h) > 0
+	}
+	t.warmed = warmed
+	if len(cold) == 0 {
+		return
+	}
+	go func() {
+		for s, h := range cold {
+			select {
+			case <-t.n.stop:
+				return
+			case <-time.After(t.n.heartbeat(0.01)):
+			}
+			t.rng.Warm(s, h)
+		}
+	}()
+}
+
 // open starts the clients' listener. Until the node has a configuration and
 // a table, requests wait at its head.
 func (t *trail) open() {
