--- /dev/null
+++ b/internal/lodge/many_test.go
@@ -0,0 +1,98 @@
+package lodge
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"swiftswitch/internal/hutbook"
+)
+
+// Hundreds of fronts ask one hut at the same moment, twice: each gets the whole
+// table, which is packed once for all, and is counted with its zone.
+func TestManyFrontsJoin(t *testing.T) {
+	w, s := start(t)
+	const fronts = 240
+	hut := w.nodes["1"].hut
+	to := w.nodes["1"].set().RopeAddr(w.ip(1))
+	for round := 0; round < 2; round++ {
+		var wg sync.WaitGroup
+		tables := make([]*hutbook.Table, fronts)
+		for i := range tables {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				ask := watchAsk{Name: fmt.Sprint("many-", i), IP: "127.0.0.9", Slot: -1, Purge: -1, Zone: []string{"z1", "z2"}[i%2], First: true, HoldMs: 100, Hello: true}
+				var say watchSay
+				if err := w.nodes["1"].call.Ask(to, pathWatch, ask, &say, 3*time.Second); err != nil || len(say.Huts) != 3 || say.Delta != nil {
+					t.Errorf("hello: %v, %d huts", err, len(say.Huts))
+					return
+				}
+				ask.Hello = false
+				if err := w.nodes["1"].call.Ask(to, pathWatch, ask, &say, 3*time.Second); err != nil {
+					t.Errorf("watch: %v", err)
+					return
+				}
+				d, err := unpackDelta(say.Delta, 1<<20)
+				if err != nil {
+					t.Errorf("what came can't be read: %v", err)
+					return
+				}
+				tables[i] = (*hutbook.Table)(nil).Follow(d)
+			}()
+		}
+		wg.Wait()
+		for i, table := range tables {
+			if table == nil || len(table.Searchers) != len(s) {
+				t.Fatalf("front %d has %v", i, table)
+			}
+		}
+	}
+	hut.desk.ask(func() {
+		if n := len(hut.deltas); n != 1 {
+			t.Errorf("the table was packed in %d ways", n)
+		}
+		all := hut.countFronts(hut.n.steady())
+		region, here := hut.around("z2")
+		if all != fronts+2 || here != fronts/2+1 || region < here {
+			t.Errorf("counted %d fronts, %d in the region, %d in the zone", all, region, here)
+		}
+	})
+	if _, err := unpackDelta([]byte("no gzip"), 1<<20); err == nil {
+		t.Error("garbage was unpacked")
+	}
+	if _, err := unpackDelta(pack(make([]byte, 5000)), 4000); err == nil {
+		t.Error("an oversize message was unpacked")
+	}
+}
+
+// The holder of the duty to read the list goes just when a searcher begins to
+// drain: the next one notices, in time.
+func TestDrainWhileHolderGoes(t *testing.T) {
+	w, s := start(t)
+	holder := ""
+	w.eventually("somebody has the duty", func() bool {
+		for _, n := range []string{"1", "2", "3"} {
+			if w.nodes[n].hut.status().Polling {
+				holder = n
+			}
+		}
+		return holder != ""
+	})
+	w.stop(holder)
+	w.mark("plain-a", "draining")
+	listed := time.Now()
+	bound := time.Duration(w.settings(11, false, 1).Bounds.DrainMs) * time.Millisecond
+	w.eventually("the fronts leave the searcher alone", func() bool {
+		before := s["plain-a"].ran()
+		for i := 0; i < 6; i++ {
+			w.ask(11, "GET", "/p/x", "")
+			w.ask(12, "GET", "/p/x", "")
+		}
+		return s["plain-a"].ran() == before
+	})
+	if took := time.Since(listed); took > bound {
+		t.Errorf("it took %v, the bound is %v", took, bound)
+	}
+}
