--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -124,8 +124,6 @@
 	picked []string
 	bad    map[string]time.Duration
 	counts map[string]traverse.Fronts
-	// warmed are the shards to which connections were opened ahead.
-	warmed map[string]bool
 	// held is what the watchers tell the huts that this node holds.
 	held     atomic.Pointer[holds]
 	fetching atomic.Bool
@@ -160,7 +158,7 @@
 	t.def = fork.Limits{Header: 16 << 10, Body: 1 << 20, HeaderTimeout: signpost.Ms(b.InTouchMs, 1), Idle: signpost.Ms(b.InTouchMs, 3)}
 	t.rng = traverse.New(traverse.Options{
 		Distance: n.distance, UserTimeout: n.userTimeout(), DialWithin: signpost.Ms(b.InTouchMs, 0.125), MaxBody: n.maxMessage(),
-		KeepIdle: signpost.Ms(b.InTouchMs, 1), KeepWarm: signpost.Ms(b.InTouchMs, 4), FailsOut: 3, OutFor: signpost.Ms(b.InTouchMs, 0.2),
+		KeepIdle: signpost.Ms(b.InTouchMs, 1), FailsOut: 3, OutFor: signpost.Ms(b.InTouchMs, 0.2),
 		FarPenalty: opt.FarPenalty, Many: 5, Self: s.NodeName, Forget: signpost.Ms(b.InTouchMs, 0.75),
 	})
 	t.ledger = rations.New(rations.Rules{
@@ -518,7 +516,6 @@
 
 // tick moves the rollout on; it runs on the desk.
 func (t *trail) tick() {
-	defer t.warm()
 	old := t.board.Current.Version
 	switched, ready := t.board.Tick(t.n.steady())
 	freed := t.board.TakeFreed()
@@ -560,38 +557,6 @@
 	}
 }
 
-// warm opens connections to searchers of shards that are asked now or after
-// the next switch, when they first have holders: one after the other, in an
-// order of this node's own; it runs on the desk.
-func (t *trail) warm() {
-	shards := t.board.Current.Shards
-	if t.board.Next != nil {
-		shards = slices.Concat(shards, t.board.Next.Shards)
-	}
-	warmed, cold := map[string]bool{}, map[string][]string{}
-	for _, s := range shards {
-		h := t.board.Holders(s)
-		if !t.warmed[s] && len(h) > 0 {
-			cold[s] = h
-		}
-		warmed[s] = len(h) > 0
-	}
-	t.warmed = warmed
-	if len(cold) == 0 {
-		return
-	}
-	go func() {
-		for s, h := range cold {
-			select {
-			case <-t.n.stop:
-				return
-			case <-time.After(t.n.heartbeat(0.01)):
-			}
-			t.rng.Warm(s, h)
-		}
-	}()
-}
-
 // open starts the clients' listener. Until the node has a configuration and
 // a table, requests wait at its head.
 func (t *trail) open() {
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -24,9 +24,8 @@
 	UserTimeout time.Duration
 	DialWithin  time.Duration
 	MaxBody     int
-	// KeepIdle is how long a connection is kept where the searcher names no
-	// time; KeepWarm how long one that was opened ahead of its first request.
-	KeepIdle, KeepWarm time.Duration
+	// KeepIdle is how long a connection is kept where the searcher names no time.
+	KeepIdle time.Duration
 	// FailsOut consecutive failures leave a searcher out for OutFor, longer each time.
 	FailsOut int
 	OutFor   time.Duration
@@ -496,38 +495,6 @@
 	return o
 }
 
-// Warm opens a connection to a searcher of a service in this zone, if there is
-// one that has none, so that the first request finds it.
-func (g *Range) Warm(service string, holders []string) {
-	now := time.Now()
-	g.mu.Lock()
-	var to *Peer
-	t := g.track(service)
-	reach := g.reach(service, t, now)
-	for _, p := range g.services[service] {
-		if p.far > 0 || !g.usable(p, holders, now) {
-			continue
-		}
-		if len(p.idle) > 0 || len(p.inflight) > 0 {
-			g.mu.Unlock()
-			return
-		}
-		if g.limit(p, t, reach, now) != 0 && (to == nil || p.draw > to.draw) {
-			to = p
-		}
-	}
-	g.mu.Unlock()
-	if to == nil {
-		return
-	}
-	c, err := rope.Dial(to.Addr, g.opt.DialWithin, g.opt.UserTimeout)
-	if err != nil {
-		return
-	}
-	c.IdleSince, c.IdleFor = time.Now(), g.opt.KeepWarm
-	g.putAside(to, c)
-}
-
 // ended tells whether a connection was closed or reset by the searcher.
 func ended(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
@@ -572,10 +539,6 @@
 			}
 		}
 	}
-	g.putAside(p, c)
-}
-
-func (g *Range) putAside(p *Peer, c *rope.Conn) {
 	g.mu.Lock()
 	if p.gone || c.IdleSince.Before(p.doubtUntil) {
 		g.mu.Unlock()
