--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -100,6 +100,7 @@
 	f.Float64Var(&opt.FarPenalty, "far-penalty", opt.FarPenalty, "part of the target by which a searcher in another zone must be faster")
 	f.Float64Var(&opt.Crowd, "crowd", opt.Crowd, "how many times its slots a searcher may have to do before requests of the highest priority are refused")
 	f.BoolVar(&opt.Saddle, "saddle", opt.Saddle, "gather shards without a searcher in this zone by way of a front in another")
+	f.BoolVar(&opt.Hearsay, "hearsay", opt.Hearsay, "tell other fronts, by way of huts, which searchers do not answer")
 	return c
 }
 
--- /dev/null
+++ b/internal/lodge/hearsay_test.go
@@ -0,0 +1,85 @@
+package lodge
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// What one front says is kept; what several say is told, once, and lapses.
+func TestGossip(t *testing.T) {
+	const fresh, lasts = 2 * time.Second, 3 * time.Second
+	g := gossip{said: map[int64]map[string]time.Duration{}, dark: map[int64]time.Duration{}}
+	need := accusers(50)
+	if need != 3 || accusers(2) != 2 {
+		t.Fatalf("%d of 50 fronts, %d of 2", need, accusers(2))
+	}
+	say := func(name string, at time.Duration, dark ...int64) bool {
+		return g.hear(hearsay{name, dark}, need, at, fresh, lasts)
+	}
+	for i := 0; i < 4; i++ {
+		if say("one", time.Duration(i)*100*time.Millisecond, 7, 8) {
+			t.Fatal("one front was believed")
+		}
+	}
+	if say("two", 500*time.Millisecond, 7) || !say("three", 600*time.Millisecond, 7) {
+		t.Fatal("three fronts were not believed")
+	}
+	if say("four", 700*time.Millisecond, 7) {
+		t.Fatal("what is told already is news")
+	}
+	if got := g.tell(time.Second, fresh); !slices.Equal(got, []int64{7}) {
+		t.Fatalf("told %v", got)
+	}
+	// Words that lie too far apart do not add up.
+	if say("two", 3*time.Second, 8) || say("three", 3*time.Second, 8) {
+		t.Fatal("an old word counted")
+	}
+	if got := g.tell(8*time.Second, fresh); len(got) != 0 || len(g.said) != 0 {
+		t.Fatalf("still told %v, kept %v", got, g.said)
+	}
+	// Nobody fills a hut's memory with names of searchers.
+	for i := int64(0); i < 10000; i++ {
+		say("one", 9*time.Second, i)
+	}
+	if len(g.said) > 4096 {
+		t.Fatalf("%d searchers are kept", len(g.said))
+	}
+}
+
+// What two fronts tell a hut reaches a third that watches it.
+func TestHearsay(t *testing.T) {
+	w, _ := start(t)
+	var entry int64
+	w.nodes["11"].trail.desk.ask(func() {
+		for _, x := range w.nodes["11"].trail.table.Searchers {
+			if x.ID == "s1-a" {
+				entry = x.Entry
+			}
+		}
+	})
+	to := w.nodes["1"].set().RopeAddr(w.ip(1))
+	told := make(chan watchSay, 1)
+	go func() {
+		var say watchSay
+		ask := watchAsk{Name: "third", IP: "127.0.0.9", Zone: "z1", First: true, HoldMs: 700}
+		for end := time.Now().Add(8 * time.Second); time.Now().Before(end) && !slices.Contains(say.Dark, entry); {
+			// It follows whatever else comes, as a front does.
+			if err := w.nodes["1"].call.Ask(to, pathWatch, ask, &say, 2*time.Second); err != nil {
+				break
+			}
+			ask.Slot, ask.Stamp, ask.Heard, ask.Purge = say.Slot, say.Stamp, say.Heard, say.Purge
+		}
+		told <- say
+	}()
+	for i, name := range []string{"north", "south"} {
+		var out struct{}
+		if err := w.nodes["1"].call.Ask(to, pathHearsay, hearsay{fmt.Sprint(name, i), []int64{entry}}, &out, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if say := <-told; !slices.Contains(say.Dark, entry) {
+		t.Fatalf("not told: %+v", say)
+	}
+}
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -57,6 +57,9 @@
 	// keepers are the larders, and when they were last heard.
 	keepers map[string]time.Duration
 	purges  chan *purgeWait
+	gossip  gossip
+	// spreading: what is new in gossip goes out in a moment.
+	spreading bool
 	// known are the fronts that this hut or another heard, and when.
 	known map[string]knownFront
 
@@ -142,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{}), rolls: map[string]rollSeen{}, known: map[string]knownFront{}, keepers: map[string]time.Duration{}, purges: make(chan *purgeWait, 1024), packed: map[int64]packedVersion{}, deltas: map[hutbook.Stamp][]byte{}}
+	h := &hut{n: n, cellar: cel, desk: newDesk(), depot: depot.New(), fronts: map[string]frontSeen{}, others: map[string]hutSeen{}, changed: make(chan struct{}), rolls: map[string]rollSeen{}, known: map[string]knownFront{}, keepers: map[string]time.Duration{}, purges: make(chan *purgeWait, 1024), packed: map[int64]packedVersion{}, deltas: map[hutbook.Stamp][]byte{}, gossip: gossip{said: map[int64]map[string]time.Duration{}, dark: map[int64]time.Duration{}}}
 	var rec ballotRecord
 	var body bodyRecord
 	var ep epochRecord
@@ -177,6 +180,7 @@
 	}
 	h.acc.ID = id
 	h.born = rand.Int64N(1<<40) << 10
+	h.gossip.seq = h.born
 	if body.Version > 0 && body.Version == h.acc.State.Version {
 		h.acc.State.Body, h.acc.State.Taken = body.Body, body.Taken
 	}
@@ -371,6 +375,12 @@
 		var say tableSay
 		h.desk.ask(func() { say.Stamp = h.takeDelta(d) })
 		rope.Answer(c, 200, say)
+	case pathHearsay:
+		var m hearsay
+		if rope.Read(c, &m) {
+			h.desk.ask(func() { h.handleHearsay(m) })
+			rope.Answer(c, 200, struct{}{})
+		}
 	case pathEnlist:
 		var l cairn.Larder
 		if !rope.Read(c, &l) {
@@ -614,6 +624,10 @@
 	if m.Purge >= 0 {
 		say.Purges = s.PurgesAfter(m.Purge)
 	}
+	if say.Heard = h.gossip.seq; m.First && !m.Hello && m.Heard != say.Heard {
+		say.Dark = h.gossip.tell(now, h.n.heartbeat(2))
+		news = len(say.Dark) > 0
+	}
 	if h.table != nil {
 		say.Stamp = h.table.Stamp
 		if m.Stamp.Less(h.table.Stamp) {
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -23,6 +23,7 @@
 	pathEnlist  = "/rope/enlist"
 	pathPeek    = "/rope/peek"
 	pathSaddle  = "/rope/saddle"
+	pathHearsay = "/rope/hearsay"
 	pathStatus  = "/rope/status"
 	pathConfig  = "/-/configuration"
 	pathPurge   = "/-/purge"
@@ -141,6 +142,8 @@
 	Larder bool `json:",omitempty"`
 	// Roster: the node wants to know some fronts of each zone.
 	Roster bool `json:",omitempty"`
+	// Heard is the last hearsay that the node was told.
+	Heard int64 `json:",omitempty"`
 	// Hello: the node wants to know at once where the huts are, and nothing else.
 	Hello bool `json:",omitempty"`
 }
@@ -161,6 +164,10 @@
 	Huts   []hutAt
 	// Roster lists some fronts of each zone that are ready.
 	Roster []saddle.Front `json:",omitempty"`
+	// Dark are searchers that several fronts get no answer from, by their
+	// entries; Heard numbers what was told.
+	Dark  []int64 `json:",omitempty"`
+	Heard int64   `json:",omitempty"`
 	// Purge is the last purge's number, Floor the last that nobody holds any
 	// more; Purges are those that the asker lacks.
 	Purge   int64          `json:",omitempty"`
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -56,6 +56,8 @@
 	Crowd float64
 	// Saddle: shards without a searcher in this zone are gathered by a front in another.
 	Saddle bool
+	// Hearsay: fronts tell each other, by way of huts, which searchers do not answer.
+	Hearsay bool
 }
 
 // RoleLarder is the role of nodes that keep copies.
@@ -66,7 +68,7 @@
 
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 6, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.89, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true}
+	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 6, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.89, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true, Hearsay: true}
 }
 
 // Check tells which option is out of its range, and what is allowed.
@@ -132,6 +134,10 @@
 
 	// placed: the node knows where the huts are, and so which is the nearest.
 	placed atomic.Bool
+	// heard is the last hearsay that the hut watched first told; missed wakes
+	// the loop that tells it of searchers that did not answer.
+	heard  atomic.Int64
+	missed chan struct{}
 	// rosterAt is when the node last asked for other fronts.
 	rosterAt atomic.Int64
 
@@ -154,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &trail{n: n, opt: opt, desk: newDesk(), pool: pool, maps: map[int64]*fork.Map{}, watched: map[string]bool{}, bad: map[string]time.Duration{}, counts: map[string]traverse.Fronts{}}
+	t := &trail{n: n, opt: opt, desk: newDesk(), pool: pool, maps: map[int64]*fork.Map{}, watched: map[string]bool{}, bad: map[string]time.Duration{}, counts: map[string]traverse.Fronts{}, missed: make(chan struct{}, 1)}
 	t.def = fork.Limits{Header: 16 << 10, Body: 1 << 20, HeaderTimeout: signpost.Ms(b.InTouchMs, 1), Idle: signpost.Ms(b.InTouchMs, 3)}
 	t.rng = traverse.New(traverse.Options{
 		Distance: n.distance, UserTimeout: n.userTimeout(), DialWithin: signpost.Ms(b.InTouchMs, 0.125), MaxBody: n.maxMessage(),
@@ -201,6 +207,12 @@
 	t.rng.Silent = func(id string) {
 		t.desk.post(func() { t.board.Silent(id, n.steady()); t.tick() })
 	}
+	t.rng.Miss = func() {
+		select {
+		case t.missed <- struct{}{}:
+		default:
+		}
+	}
 	return t, nil
 }
 
@@ -217,6 +229,9 @@
 	} else {
 		t.open()
 		go t.serveReadiness()
+		if t.opt.Hearsay {
+			go t.hearsayLoop()
+		}
 	}
 	go t.tickLoop()
 }
@@ -302,7 +317,7 @@
 		ask := watchAsk{
 			Name: n.set().NodeName, IP: n.set().IpAddress, Slot: h.slot, Purge: h.purge, Stamp: h.stamp, Brief: brief && !first,
 			Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out(), HoldMs: hold.Milliseconds(),
-			First: first, Larder: t.larder, Roster: first && t.rosterDue(), Hello: !t.placed.Load(),
+			First: first, Larder: t.larder, Roster: first && t.rosterDue(), Hello: !t.placed.Load(), Heard: t.heard.Load(),
 		}
 		var say watchSay
 		err := n.call.Ask(n.set().RopeAddr(ip), pathWatch, ask, &say, hold+n.heartbeat(0.8))
@@ -395,6 +410,12 @@
 			t.choice.Set(say.Roster, t.n.set().NodeName)
 		}
 	}
+	if len(say.Dark) > 0 && t.opt.Hearsay {
+		t.rng.Tell(say.Dark, time.Now().Add(t.n.hearsayLasts()))
+	}
+	if len(t.picked) > 0 && t.picked[0] == ip {
+		t.heard.Store(say.Heard)
+	}
 	if !say.Lone {
 		t.heardAt.Store(int64(t.n.steady()))
 	}
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -45,6 +45,7 @@
 	ListChanged Event = 4004
 	TableOld    Event = 4005
 	DutyUnfit   Event = 4006
+	HearsayTold Event = 4007
 
 	PurgesChosen   Event = 7001
 	PurgeUnsettled Event = 7002
@@ -102,6 +103,7 @@
 	{ListChanged, "list-changed", "info", "Searchers came, went or drain."},
 	{TableOld, "table-old", "info", "A table from a lower epoch was refused."},
 	{DutyUnfit, "duty-unfit", "warn", "This node's disk did not take the duty's epoch; another node does the duty for a while."},
+	{HearsayTold, "hearsay-told", "info", "Several fronts get no answer from searchers; all that watch this hut are told to ask others first for a while."},
 	{CutNext, "cut-next", "info", "A version with another cut is next; its searchers are being readied."},
 	{CutSwitched, "cut-switched", "info", "The cut in force changed; ready says whether all slots were ready."},
 	{SlotFreed, "slot-freed", "info", "A searcher lost its slot; a standby may take it."},
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -116,6 +117,9 @@
 	outs     int
 	outUntil time.Time
 	gone     bool
+	// missedAt is when it last did not answer; told: until then others say
+	// that it does not answer them either.
+	missedAt, told time.Time
 	// doubtUntil: bytes came that belong to no request.
 	doubtUntil time.Time
 	// full and silent hold what the callbacks were last told.
@@ -142,15 +146,17 @@
 	// near and scores are room for Choose to work in.
 	near   []*Peer
 	scores []float64
-	// Silent and Full are told of searchers that fall silent or answer fully.
+	// Silent and Full are told of searchers that fall silent or answer fully,
+	// Miss that one did not answer.
 	Silent func(id string)
 	Full   func(id string)
+	Miss   func()
 }
 
 // New makes an empty range.
 func New(o Options) *Range {
 	return &Range{opt: o, peers: map[string]*Peer{}, services: map[string][]*Peer{}, tracks: map[string]*track{},
-		Silent: func(string) {}, Full: func(string) {}}
+		Silent: func(string) {}, Full: func(string) {}, Miss: func() {}}
 }
 
 // SetShare says how many front nodes share each searcher's connections.
@@ -326,6 +332,9 @@
 		}
 	}
 	s += float64(p.fails) * lat
+	if now.Before(p.told) {
+		s += left / 2
+	}
 	if now.Before(p.outUntil) || p.fails >= g.opt.FailsOut && len(p.inflight) > 0 {
 		s += left
 	}
@@ -553,7 +562,7 @@
 func (g *Range) learn(p *Peer, o *Outcome, start time.Time) {
 	now := time.Now()
 	took := ms(now.Sub(start))
-	full, silent := false, false
+	full, silent, missed := false, false, false
 	g.mu.Lock()
 	p.ended(start)
 	switch {
@@ -575,7 +584,7 @@
 			} else {
 				p.ewma += 0.2 * (took - p.ewma)
 			}
-			p.sample = now
+			p.sample, p.told = now, time.Time{}
 			g.track(p.Service).add(took)
 		}
 	case o.Status == 421:
@@ -590,6 +599,9 @@
 		}
 	default:
 		p.fails++
+		if missed = o.Verdict == Unsent || ended(o.Err) || took > patience*g.track(p.Service).p50 && errors.Is(o.Err, os.ErrDeadlineExceeded); missed {
+			p.missedAt = now
+		}
 		if p.fails >= g.opt.FailsOut {
 			silent = !p.silent
 			p.silent = true
@@ -607,6 +619,9 @@
 	if silent {
 		g.Silent(p.ID)
 	}
+	if missed {
+		g.Miss()
+	}
 }
 
 func (t *track) add(v float64) {
@@ -667,6 +682,11 @@
 	return (holders == nil || contains(holders, p.ID)) && p.fails < g.opt.FailsOut && now.After(p.outUntil)
 }
 
+// trusted tells whether a searcher in another zone may be asked for, by way of a front there.
+func (g *Range) trusted(p *Peer, holders []string, now time.Time) bool {
+	return g.usable(p, holders, now) && !now.Before(p.told)
+}
+
 // Zones lists the zones in which a service has a searcher in good order.
 func (g *Range) Zones(service string, holders []string) []string {
 	now := time.Now()
@@ -674,7 +694,7 @@
 	defer g.mu.Unlock()
 	var out []string
 	for _, p := range g.services[service] {
-		if g.usable(p, holders, now) && !contains(out, p.Zone) {
+		if g.trusted(p, holders, now) && !contains(out, p.Zone) {
 			out = append(out, p.Zone)
 		}
 	}
@@ -687,7 +707,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.services[service] {
-		if p.Zone == zone && g.usable(p, holders, now) {
+		if p.Zone == zone && g.trusted(p, holders, now) {
 			return p
 		}
 	}
