--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -663,7 +663,9 @@
 	Table     hutbook.Stamp
 	Searchers int
 	Fronts    int
-	Busy      int64
+	// Connections to searchers, and how many of these do not answer.
+	Connections traverse.Count
+	Busy        int64
 	// Helped counts the requests in which this front gathered for another.
 	Helped int64
 	Slots  map[string][]string
@@ -678,6 +680,7 @@
 
 func (t *trail) status() *TrailStatus {
 	st := &TrailStatus{Ready: t.ready.Load(), Busy: t.head.Busy(), Helped: t.head.Lent(), Slots: map[string][]string{}}
+	st.Connections = t.rng.Count()
 	st.Copies, st.CopyBytes = t.pantry.Held()
 	if t.larder {
 		st.Copies, st.CopyBytes = t.kitchen.held()
--- a/internal/traverse/hearsay.go
+++ b/internal/traverse/hearsay.go
@@ -45,3 +45,29 @@
 		}
 	}
 }
+
+// Count is a summary of the searchers as this node sees them.
+type Count struct {
+	// Open counts connections, Most those to one searcher.
+	Open, Most int
+	// Silent searchers do not answer this node, Told not others either, as they say.
+	Silent, Told int
+}
+
+// Count sums up.
+func (g *Range) Count() (c Count) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		n := len(p.idle) + len(p.inflight)
+		c.Open, c.Most = c.Open+n, max(c.Most, n)
+		if p.silent {
+			c.Silent++
+		}
+		if now.Before(p.told) {
+			c.Told++
+		}
+	}
+	return c
+}
