--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -45,7 +45,7 @@
 	Late float64
 	// RetryIn, a part of the target, is when a refused client may come back.
 	RetryIn float64
-	// WriteWithin bounds the sending of an answer.
+	// WriteWithin bounds the sending of an answer whose client waits no longer.
 	WriteWithin time.Duration
 	// Crowd, times its slots, is how much a searcher may have to do before requests of the highest priority are refused.
 	Crowd float64
@@ -135,7 +135,9 @@
 			c.Response.Header.Set("Keep-Alive", "timeout="+strconv.Itoa(s-1))
 		}
 	}
-	_ = c.GetConn().SetWriteTimeout(h.opt.WriteWithin)
+	// A long answer over a slow link may take as long as its client waits; a
+	// peer that is gone is noticed sooner, by the connection itself.
+	_ = c.GetConn().SetWriteTimeout(max(h.opt.WriteWithin, time.Until(v.times.Until)))
 }
 
 func (h *Head) refuse(v *visit, status int, why string) bool {
--- /dev/null
+++ b/internal/trailhead/write_test.go
@@ -0,0 +1,44 @@
+package trailhead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/network"
+	"swiftswitch/internal/fork"
+	"swiftswitch/internal/gather"
+	"swiftswitch/internal/rations"
+	"swiftswitch/internal/signpost"
+	"swiftswitch/internal/traverse"
+)
+
+// timedConn remembers how long an answer may take to be written.
+type timedConn struct {
+	network.Conn
+	within time.Duration
+}
+
+func (c *timedConn) SetWriteTimeout(d time.Duration) error { c.within = d; return nil }
+
+// An answer is not cut off while its client still waits for it, nor kept for long after.
+func TestWriteAsLongAsTheClientWaits(t *testing.T) {
+	conf := &signpost.Configuration{Version: 1, Services: []*signpost.Service{{Name: "s"}}, Routes: []*signpost.Route{
+		{Name: "r", HostName: "a.example", PathPrefix: "/", RouteKind: "safe", TimeoutMs: 6000, Service: "s", Attempts: 1}}}
+	guide := &gather.Guide{Range: traverse.New(traverse.Options{Many: 5, Forget: time.Second}), Ledger: rations.New(rations.Rules{Window: time.Second}, 0), Steady: func() time.Duration { return 0 }}
+	h := New(Options{Soft: 0.9, Hard: 0.97, WriteWithin: 2 * time.Second, Crowd: 2}, guide)
+	h.Set(&Snapshot{Map: fork.Compile(conf, fork.Limits{Header: 1 << 14, Body: 1 << 14})})
+	for deadline, want := range map[string]time.Duration{"4000": 4 * time.Second, "60000": 6 * time.Second, "500": 2 * time.Second} {
+		conn := &timedConn{}
+		c := app.NewContext(0)
+		c.SetConn(conn)
+		c.Request.SetRequestURI("/x")
+		c.Request.Header.SetProtocol("HTTP/1.1")
+		c.Request.Header.SetRawHeaders([]byte("Host: a.example\r\nSwiftswitch-Request-Id: r1\r\nSwiftswitch-Deadline-Milliseconds: " + deadline + "\r\n"))
+		h.Handle(context.Background(), c)
+		if c.Response.StatusCode() != 503 || conn.within < want-200*time.Millisecond || conn.within > want {
+			t.Errorf("client waits %s ms: status %d, %v to write, want %v", deadline, c.Response.StatusCode(), conn.within, want)
+		}
+	}
+}
