--- /dev/null
+++ b/internal/barometer/barometer.go
@@ -0,0 +1,107 @@
+// Package barometer holds control charts: generalized cumulative sums (GCUSUM)
+// with a limit that depends on how long a sum has been above zero. The charts
+// are pure; docs/design.md names their source.
+package barometer
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// Options are the free parts of a chart. The defaults are the source's: with
+// them an in-control process signals after 168 subgroups on average.
+type Options struct {
+	// K is the reference value: half of the shift, in standard errors, that
+	// is to be found soonest.
+	K float64
+	// Start, Rise, Knot and Fall shape the limit: Start + Rise x n up to a run
+	// of Knot subgroups, then Fall more for each further one.
+	Start, Rise float64
+	Knot        int
+	Fall        float64
+	// HeadStart begins both sums at half of Start instead of at zero.
+	HeadStart bool
+	// Shewhart, where it is above 0, also signals at a single subgroup that is so far out.
+	Shewhart float64
+}
+
+// Defaults are the source's constants.
+func Defaults() Options {
+	return Options{K: 0.5, Start: 2.96, Rise: 0.3, Knot: 5, Fall: -0.1}
+}
+
+// Check tells which option is out of its range.
+func (o Options) Check() error {
+	for _, r := range []struct {
+		name           string
+		v, least, most float64
+	}{
+		{"chart-k", o.K, 0, 5}, {"chart-start", o.Start, 0.1, 100}, {"chart-rise", o.Rise, -5, 5},
+		{"chart-knot", float64(o.Knot), 0, 1000}, {"chart-fall", o.Fall, -5, 5}, {"chart-shewhart", o.Shewhart, 0, 100},
+	} {
+		if !(r.v >= r.least && r.v <= r.most) {
+			return fmt.Errorf("--%s is %v: it must be between %v and %v", r.name, r.v, r.least, r.most)
+		}
+	}
+	if o.Limit(max(1, o.Knot)) <= 0 {
+		return errors.New("--chart-start, --chart-rise and --chart-knot give a limit that is not above 0")
+	}
+	return nil
+}
+
+// Limit is A*(n), the limit for a sum that has been above zero for n subgroups.
+func (o Options) Limit(n int) float64 {
+	return max(0, o.Start+o.Rise*float64(min(n, o.Knot))+o.Fall*float64(max(0, n-o.Knot)))
+}
+
+// Signal is what a subgroup brought.
+type Signal int
+
+// The signals.
+const (
+	None Signal = iota
+	// Above: the mean has gone up.
+	Above
+	// Below: the mean has gone down.
+	Below
+)
+
+// Chart is one stream's pair of sums and their run counters.
+type Chart struct {
+	Up, Down       float64
+	RunUp, RunDown int
+	begun          bool
+}
+
+// Step takes the standardized average of one subgroup. A sum that signals
+// restarts from zero with its counter: whoever reads the signal decides
+// whether it was a false alarm, and the chart goes on either way.
+func (c *Chart) Step(o Options, z float64) Signal {
+	if math.IsNaN(z) {
+		return None
+	}
+	if !c.begun && o.HeadStart {
+		c.Up, c.Down = o.Start/2, o.Start/2
+	}
+	c.begun = true
+	c.Up, c.RunUp = add(c.Up, c.RunUp, z-o.K)
+	c.Down, c.RunDown = add(c.Down, c.RunDown, -z-o.K)
+	switch {
+	case c.Up > o.Limit(c.RunUp) && c.RunUp > 0, o.Shewhart > 0 && z > o.Shewhart:
+		c.Up, c.RunUp = 0, 0
+		return Above
+	case c.Down > o.Limit(c.RunDown) && c.RunDown > 0, o.Shewhart > 0 && -z > o.Shewhart:
+		c.Down, c.RunDown = 0, 0
+		return Below
+	}
+	return None
+}
+
+// add clamps a sum at zero and counts the subgroups for which it stays above.
+func add(sum float64, run int, by float64) (float64, int) {
+	if sum += by; sum <= 0 {
+		return 0, 0
+	}
+	return sum, run + 1
+}
--- /dev/null
+++ b/internal/belay/judge.go
@@ -0,0 +1,342 @@
+package belay
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"swiftswitch/internal/barometer"
+)
+
+// Options are the project's defaults; all but the chart's and Subgroup are ratios.
+type Options struct {
+	// Chart holds the constants of the charts.
+	Chart barometer.Options
+	// Subgroup is how many tries of the new version are averaged at least.
+	Subgroup int
+	// Failures and Latency turn the metrics on.
+	Failures, Latency bool
+	// Slower is by how much longer than the old version the new one's answers
+	// may take, and Worse the share of failures that it may have more.
+	Slower, Worse float64
+	// Canary is the part of ExposureShare that is used; Trial the share of the
+	// requests that goes to the new version in the trial; Keep the part of the
+	// whole exposure that canary and trial may use up.
+	Canary, Trial, Keep float64
+	// TrialAt, a part of the term, is when the trial may begin.
+	TrialAt float64
+}
+
+// Defaults are the project's defaults.
+func Defaults() Options {
+	return Options{
+		Chart: barometer.Defaults(), Subgroup: 4, Failures: true, Latency: true, Slower: 1.5, Worse: 0.05,
+		Canary: 0.6, Trial: 0.9, Keep: 0.8, TrialAt: 0.5,
+	}
+}
+
+// Check tells which option is out of its range.
+func (o Options) Check() error {
+	if o.Subgroup < 1 || o.Subgroup > 1000 {
+		return fmt.Errorf("--chart-subgroup is %d: it must be between 1 and 1000", o.Subgroup)
+	}
+	if !o.Failures && !o.Latency {
+		return fmt.Errorf("--chart-failures and --chart-latency are both off: a version would be judged by nothing")
+	}
+	for _, r := range []struct {
+		name           string
+		v, least, most float64
+	}{
+		{"rollout-slower", o.Slower, 1, 100}, {"rollout-worse", o.Worse, 0, 1}, {"rollout-canary", o.Canary, 0.01, 0.9},
+		{"rollout-trial", o.Trial, 0.1, 1}, {"rollout-keep", o.Keep, 0.1, 0.95}, {"rollout-trial-at", o.TrialAt, 0.1, 0.8},
+	} {
+		if !(r.v >= r.least && r.v <= r.most) {
+			return fmt.Errorf("--%s is %v: it must be between %v and %v", r.name, r.v, r.least, r.most)
+		}
+	}
+	return o.Chart.Check()
+}
+
+// The floors under what the old version shows: no process is steadier.
+const (
+	floorSpread   = 0.3  // of the logarithm of latency
+	floorFailures = 0.03 // the share of failures
+	betweenSpread = 0.2  // between one searcher and another, of the logarithm
+	fewOld        = 8    // answers of the old version without which there is no baseline
+)
+
+// stream is one chart's line: a metric on one route, or on all ("").
+type stream struct {
+	metric string
+	route  string
+}
+
+// The metrics.
+const (
+	metricFailures = "failures"
+	metricLatency  = "latency"
+)
+
+// whoSeen is how one searcher of the new version did lately, beside what was allowed.
+type whoSeen struct{ n, excess float64 }
+
+type line struct {
+	chart barometer.Chart
+	// fresh is the new version's subgroup being collected, by distance and searcher.
+	fresh map[place]Sum
+	// beside is the old version over the same moments, recent over a longer while.
+	beside, recent map[int]weighed
+	who            map[int64]whoSeen
+}
+
+type place struct {
+	far int
+	who int64
+}
+
+// Alarm is a signal of a chart.
+type Alarm struct {
+	Metric, Route string
+	// Bad: it speaks against the new version, and most of its searchers bear it out.
+	Bad bool
+	// Better: the new version does better than the old one.
+	Better bool
+}
+
+// Judge runs the charts of one order. It has one owner.
+type Judge struct {
+	opt   Options
+	lines map[stream]*line
+	last  time.Duration
+	// fade is how long what was seen keeps its weight.
+	fade time.Duration
+	bad  string
+	// New and Old count the tries seen of each version, Good the new one's that were no failures.
+	New, Old, Good int64
+	first          time.Duration
+}
+
+// NewJudge starts at now for an order with that term.
+func NewJudge(o Options, term, now time.Duration) *Judge {
+	return &Judge{opt: o, lines: map[stream]*line{}, last: now, first: now, fade: max(term/5, time.Millisecond)}
+}
+
+// Bad tells what was found against the new version, if anything was.
+func (j *Judge) Bad() string { return j.bad }
+
+// Rate is how many tries a second were seen of both versions.
+func (j *Judge) Rate(now time.Duration) float64 {
+	return float64(j.New+j.Old) / max(0.5, (now-j.first).Seconds())
+}
+
+// Add takes what was seen since the last call.
+func (j *Judge) Add(entries []Entry) {
+	for _, e := range entries {
+		if e.New {
+			j.New += e.Sum.N
+			j.Good += e.Sum.N - e.Sum.Bad
+		} else {
+			j.Old += e.Sum.N
+		}
+		for _, route := range []string{e.Route, ""} {
+			if j.opt.Failures {
+				j.line(stream{metricFailures, route}).add(e)
+			}
+			if j.opt.Latency {
+				j.line(stream{metricLatency, route}).add(e)
+			}
+		}
+	}
+}
+
+func (j *Judge) line(s stream) *line {
+	l := j.lines[s]
+	if l == nil {
+		l = &line{fresh: map[place]Sum{}, beside: map[int]weighed{}, recent: map[int]weighed{}, who: map[int64]whoSeen{}}
+		j.lines[s] = l
+	}
+	return l
+}
+
+func (l *line) add(e Entry) {
+	if e.New {
+		at := place{e.Far, e.Who}
+		l.fresh[at] = l.fresh[at].Plus(e.Sum)
+		return
+	}
+	l.beside[e.Far] = l.beside[e.Far].plus(e.Sum.scaled(1))
+}
+
+// Step closes the subgroups that are full and gives what their charts signal.
+func (j *Judge) Step(now time.Duration) (alarms []Alarm) {
+	w := math.Exp(-float64(now-j.last) / float64(j.fade))
+	j.last = now
+	var streams []stream
+	for s, l := range j.lines {
+		streams = append(streams, s)
+		for far := range l.recent {
+			l.recent[far] = l.recent[far].times(w)
+		}
+		for who, x := range l.who {
+			l.who[who] = whoSeen{x.n * w, x.excess * w}
+		}
+	}
+	sort.Slice(streams, func(a, b int) bool {
+		if streams[a].metric != streams[b].metric {
+			return streams[a].metric < streams[b].metric
+		}
+		return streams[a].route < streams[b].route
+	})
+	for _, s := range streams {
+		l := j.lines[s]
+		var z float64
+		var ok bool
+		if s.metric == metricFailures {
+			z, ok = l.failures(j.opt)
+		} else {
+			z, ok = l.latency(j.opt)
+		}
+		if !ok {
+			continue
+		}
+		switch l.chart.Step(j.opt.Chart, z) {
+		case barometer.Above:
+			a := Alarm{Metric: s.metric, Route: s.route, Bad: l.most()}
+			if a.Bad && j.bad == "" {
+				j.bad = s.metric + " on " + routeName(s.route)
+			}
+			alarms = append(alarms, a)
+		case barometer.Below:
+			alarms = append(alarms, Alarm{Metric: s.metric, Route: s.route, Better: true})
+		}
+	}
+	return alarms
+}
+
+func routeName(r string) string {
+	if r == "" {
+		return "all routes"
+	}
+	return "route " + r
+}
+
+// most tells whether more than half of the new version's searchers that were
+// asked lately did worse than allowed: one that crashed, is cut off or slow
+// by itself is no bad version.
+func (l *line) most() bool {
+	asked, worse := 0, 0
+	for _, x := range l.who {
+		if x.n < 0.5 {
+			continue
+		}
+		asked++
+		if x.excess > 0 {
+			worse++
+		}
+	}
+	return 2*worse > asked
+}
+
+// end puts the closed subgroup's baseline with what is known of a longer while.
+func (l *line) end() {
+	for far, b := range l.beside {
+		l.recent[far] = l.recent[far].plus(b)
+	}
+	clear(l.beside)
+	clear(l.fresh)
+}
+
+// old is the baseline at a distance: the same moments, and where these bring
+// too little, the while before as well.
+func (l *line) old(far int) weighed {
+	b := l.beside[far]
+	if b.timed < 2*fewOld {
+		b = b.plus(l.recent[far])
+	}
+	return b
+}
+
+// failures closes a subgroup of the share of failures. The share that the old
+// version shows, and Worse more, stands for the mean, and what a share spreads
+// by chance for the spread.
+func (l *line) failures(o Options) (z float64, ok bool) {
+	var n, bad int64
+	for _, s := range l.fresh {
+		n, bad = n+s.N, bad+s.Bad
+	}
+	if n < int64(o.Subgroup) {
+		return 0, false
+	}
+	var old weighed
+	for far := range union(l.beside, l.recent) {
+		b := l.beside[far]
+		if b.n < 2*fewOld {
+			b = b.plus(l.recent[far])
+		}
+		old = old.plus(b)
+	}
+	defer l.end()
+	p := min(0.9, max(floorFailures, old.bad/max(old.n, 1))+o.Worse)
+	for at, s := range l.fresh {
+		x := l.who[at.who]
+		l.who[at.who] = whoSeen{x.n + float64(s.N), x.excess + float64(s.Bad) - p*float64(s.N)}
+	}
+	if old.n < fewOld {
+		// Nobody asks the old version: nothing stands beside, but failures are failures.
+		old.n = fewOld
+	}
+	return (float64(bad)/float64(n) - p) / math.Sqrt(p*(1-p)*(1/float64(n)+1/old.n)), true
+}
+
+// latency closes a subgroup of the logarithm of latency, each distance beside
+// the old version's answers over the same distance.
+func (l *line) latency(o Options) (z float64, ok bool) {
+	var n int64
+	for _, s := range l.fresh {
+		n += s.Timed
+	}
+	if n < int64(o.Subgroup) {
+		return 0, false
+	}
+	defer l.end()
+	allowed := math.Log(o.Slower)
+	excess, variance, timed := 0.0, 0.0, 0.0
+	whos := map[int64]bool{}
+	byFar := map[int]Sum{}
+	for at, s := range l.fresh {
+		b := l.old(at.far)
+		if s.Timed == 0 || b.timed < fewOld {
+			continue
+		}
+		byFar[at.far] = byFar[at.far].Plus(s)
+		whos[at.who] = true
+		x := l.who[at.who]
+		l.who[at.who] = whoSeen{x.n + float64(s.Timed), x.excess + s.Log - float64(s.Timed)*(b.log/b.timed+allowed)}
+	}
+	for far, s := range byFar {
+		b := l.old(far)
+		mean := b.log / b.timed
+		spread := math.Sqrt(max(floorSpread*floorSpread, b.square/b.timed-mean*mean))
+		k := float64(s.Timed)
+		excess += s.Log - k*(mean+allowed)
+		variance += spread * spread * (k + k*k/b.timed)
+		timed += k
+	}
+	if timed < 1 {
+		return 0, false
+	}
+	variance += timed * timed * betweenSpread * betweenSpread / float64(len(whos))
+	return excess / math.Sqrt(variance), true
+}
+
+func union[V any](a, b map[int]V) map[int]bool {
+	out := map[int]bool{}
+	for k := range a {
+		out[k] = true
+	}
+	for k := range b {
+		out[k] = true
+	}
+	return out
+}
--- /dev/null
+++ b/internal/belay/sums.go
@@ -0,0 +1,159 @@
+package belay
+
+import "sync"
+
+// Cell names what is counted together: tries of one version of a service on
+// one route, to searchers at one distance. The new version's are told apart
+// by searcher as well, as far as there are few.
+type Cell struct {
+	// Order is the number of the rollout's order.
+	Order int64  `json:"O"`
+	New   bool   `json:"N,omitempty"`
+	Route string `json:"R"`
+	Far   int    `json:"F,omitempty"`
+	Who   int64  `json:"W,omitempty"`
+}
+
+// Sum is what was seen in a cell. Sums only grow, and add up.
+type Sum struct {
+	// N counts answers and lasting silences, Bad those that are failures.
+	N   int64 `json:"N"`
+	Bad int64 `json:"B,omitempty"`
+	// Timed counts those of warm searchers whose latency is in Log and Square,
+	// the sums of its logarithm and of that squared.
+	Timed  int64   `json:"T,omitempty"`
+	Log    float64 `json:"L,omitempty"`
+	Square float64 `json:"S,omitempty"`
+}
+
+// Plus adds.
+func (s Sum) Plus(o Sum) Sum {
+	return Sum{s.N + o.N, s.Bad + o.Bad, s.Timed + o.Timed, s.Log + o.Log, s.Square + o.Square}
+}
+
+// Minus takes away what was known before.
+func (s Sum) Minus(o Sum) Sum {
+	return Sum{s.N - o.N, s.Bad - o.Bad, s.Timed - o.Timed, s.Log - o.Log, s.Square - o.Square}
+}
+
+func (s Sum) scaled(w float64) weighed {
+	return weighed{float64(s.N) * w, float64(s.Bad) * w, float64(s.Timed) * w, s.Log * w, s.Square * w}
+}
+
+// weighed is a sum whose parts have lost weight with age.
+type weighed struct{ n, bad, timed, log, square float64 }
+
+func (a weighed) plus(b weighed) weighed {
+	return weighed{a.n + b.n, a.bad + b.bad, a.timed + b.timed, a.log + b.log, a.square + b.square}
+}
+
+func (a weighed) times(w float64) weighed {
+	return weighed{a.n * w, a.bad * w, a.timed * w, a.log * w, a.square * w}
+}
+
+// Entry is a cell with its sum, as it travels.
+type Entry struct {
+	Cell
+	Sum Sum `json:"S"`
+}
+
+// cellsMost bounds how many cells are held for all orders together.
+const cellsMost = 4096
+
+// Tally collects what this node sees. It may be used from any goroutine.
+type Tally struct {
+	mu    sync.Mutex
+	cells map[Cell]Sum
+}
+
+// Note counts one try.
+func (t *Tally) Note(c Cell, s Sum) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cells == nil {
+		t.cells = map[Cell]Sum{}
+	}
+	if old, ok := t.cells[c]; ok || len(t.cells) < cellsMost {
+		t.cells[c] = old.Plus(s)
+	}
+}
+
+// Take gives what was counted since the last call.
+func (t *Tally) Take() (out []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c, s := range t.cells {
+		out = append(out, Entry{c, s})
+	}
+	clear(t.cells)
+	return out
+}
+
+// Ledger merges what many nodes tell: sums that only grow, by source, where a
+// later one stands for the earlier. It has one owner.
+type Ledger struct {
+	from map[string]heard
+	own  map[Cell]Sum
+}
+
+type heard struct {
+	life, seq int64
+	cells     map[Cell]Sum
+}
+
+// NewLedger makes an empty ledger.
+func NewLedger() *Ledger { return &Ledger{from: map[string]heard{}, own: map[Cell]Sum{}} }
+
+// Add counts what this node was told by the fronts that report to it.
+func (l *Ledger) Add(entries []Entry) {
+	for _, e := range entries {
+		if old, ok := l.own[e.Cell]; ok || len(l.own) < cellsMost {
+			l.own[e.Cell] = old.Plus(e.Sum)
+		}
+	}
+}
+
+// Own lists what this node was told so far.
+func (l *Ledger) Own() (out []Entry) {
+	for c, s := range l.own {
+		out = append(out, Entry{c, s})
+	}
+	return out
+}
+
+// Merge takes all that a source has counted in its life, and gives what was
+// not known of it. What came late or twice brings nothing.
+func (l *Ledger) Merge(source string, life, seq int64, entries []Entry) (news []Entry) {
+	old := l.from[source]
+	if old.life == life && seq <= old.seq || life < old.life {
+		return nil
+	}
+	if old.life != life {
+		old.cells = nil
+	}
+	now := heard{life, seq, map[Cell]Sum{}}
+	for _, e := range entries {
+		now.cells[e.Cell] = e.Sum
+		if d := e.Sum.Minus(old.cells[e.Cell]); d.N > 0 {
+			news = append(news, Entry{e.Cell, d})
+		}
+	}
+	l.from[source] = now
+	return news
+}
+
+// Forget drops what belongs to orders that no longer run.
+func (l *Ledger) Forget(runs func(order int64) bool) {
+	for c := range l.own {
+		if !runs(c.Order) {
+			delete(l.own, c)
+		}
+	}
+	for _, h := range l.from {
+		for c := range h.cells {
+			if !runs(c.Order) {
+				delete(h.cells, c)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/cairn/rollout.go
@@ -0,0 +1,123 @@
+package cairn
+
+// Phase is how far a rollout is.
+type Phase string
+
+// The phases, in their order. The first three are called running outside.
+const (
+	// Canary: a small share of the requests goes to the new version.
+	Canary Phase = "canary"
+	// Trial: for a moment most of them do, to see it under its full load.
+	Trial Phase = "trial"
+	// Promote: it was found good; all requests move, and the fronts say so.
+	Promote Phase = "promote"
+	// Completed and RolledBack are final.
+	Completed  Phase = "completed"
+	RolledBack Phase = "rolled_back"
+)
+
+var phaseOrder = map[Phase]int{Canary: 1, Trial: 2, Promote: 3, Completed: 4, RolledBack: 4}
+
+// Rollout is the last order to move a service to another version of its
+// searchers, and how far it is.
+type Rollout struct {
+	// N names the order: the slot that decided it. It is 0 in a proposal of an order.
+	N       int64 `json:",omitempty"`
+	Service string
+	// From is the version in force when the order came, Target the one ordered.
+	From       string `json:",omitempty"`
+	Target     string
+	DurationMs int64
+	Phase      Phase
+	// Slot decided the phase; SpentMs of the term were over by then.
+	Slot    int64 `json:",omitempty"`
+	SpentMs int64 `json:",omitempty"`
+	// ForMs is how long a trial lasts on each node.
+	ForMs int64 `json:",omitempty"`
+	// Why tells what led to the phase.
+	Why string `json:",omitempty"`
+}
+
+// Running tells whether the order is not settled.
+func (r Rollout) Running() bool { return phaseOrder[r.Phase] < phaseOrder[Completed] }
+
+// State is what the operator is told.
+func (r Rollout) State() string {
+	if r.Running() {
+		return "running"
+	}
+	return string(r.Phase)
+}
+
+// Same tells whether r is the same order as o, as far as can be told.
+func (r Rollout) Same(o Rollout) bool {
+	return r.Service == o.Service && r.Target == o.Target && r.DurationMs == o.DurationMs
+}
+
+// InForce is the version that a service's requests belong to when no order for it runs.
+func (r Rollout) InForce() string {
+	if r.Phase == Completed {
+		return r.Target
+	}
+	return r.From
+}
+
+// rolloutsKept bounds how many services' last orders are remembered.
+const rolloutsKept = 4096
+
+// Rollout finds the last order for a service.
+func (s State) Rollout(service string) (Rollout, bool) {
+	for _, r := range s.Rollouts {
+		if r.Service == service {
+			return r, true
+		}
+	}
+	return Rollout{}, false
+}
+
+// RolloutsAfter lists the orders that changed after a slot.
+func (s State) RolloutsAfter(slot int64) (out []Rollout) {
+	for _, r := range s.Rollouts {
+		if r.Slot > slot {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// roll applies an order, or the next phase of one. An order beside a running
+// one changes nothing, nor does a step back, or one of another order: what is
+// settled stays settled, whoever proposes.
+func (s *State) roll(v Rollout) {
+	list := make([]Rollout, 0, len(s.Rollouts)+1)
+	old, known := Rollout{}, false
+	for _, r := range s.Rollouts {
+		if r.Service == v.Service {
+			old, known = r, true
+			continue
+		}
+		list = append(list, r)
+	}
+	switch {
+	case v.N == 0 && (!known || !old.Running() && !old.Same(v)):
+		v.N, v.Phase = s.Slot, Canary
+		if v.From == v.Target {
+			v.Phase = Completed
+		}
+		old = v
+	case v.N != 0 && known && old.N == v.N && old.Running() && phaseOrder[v.Phase] > phaseOrder[old.Phase]:
+		old.Phase, old.SpentMs, old.ForMs, old.Why = v.Phase, max(old.SpentMs, v.SpentMs), v.ForMs, v.Why
+	default:
+		return
+	}
+	old.Slot = s.Slot
+	list = append(list, old)
+	for len(list) > rolloutsKept {
+		at := 0
+		for at < len(list)-1 && list[at].Running() {
+			at++
+		}
+		list = append(list[:at:at], list[at+1:]...)
+	}
+	s.Rollouts = list
+}
--- a/internal/cairn/state.go
+++ b/internal/cairn/state.go
@@ -41,7 +41,7 @@
 }
 
 // Value is what a slot decides: a configuration on top of Base, a set of
-// voters, some purges, or the set of larders.
+// voters, some purges, the set of larders, or a step of a rollout.
 type Value struct {
 	Version int64  `json:",omitempty"`
 	Base    int64  `json:",omitempty"`
@@ -53,6 +53,8 @@
 	Larders []Larder `json:",omitempty"`
 	// NoLarders: the set of larders is empty.
 	NoLarders bool `json:",omitempty"`
+	// Rollout is an order (without N), or the next phase of one.
+	Rollout *Rollout `json:",omitempty"`
 }
 
 // Equal compares two values.
@@ -83,6 +85,8 @@
 	PurgeSeq int64    `json:",omitempty"`
 	Purges   []Purge  `json:",omitempty"`
 	Larders  []Larder `json:",omitempty"`
+	// Rollouts holds each service's last order, those changed last at the end.
+	Rollouts []Rollout `json:",omitempty"`
 }
 
 // PurgeFloor is the number of the last purge that is no longer held.
@@ -119,6 +123,9 @@
 	case len(v.Voters) > 0:
 		n.Voters = v.Voters
 		return n
+	case v.Rollout != nil:
+		n.roll(*v.Rollout)
+		return n
 	case len(v.Larders) > 0 || v.NoLarders:
 		n.Larders = v.Larders
 		return n
--- a/internal/gather/party.go
+++ b/internal/gather/party.go
@@ -18,7 +18,13 @@
 // Leg is the part of a request that goes to one service.
 type Leg struct {
 	Service string
+	// Version is that of the searchers that are asked, where it is given.
+	Version string
 	Holders []string
+	// Canary, where it is set, is asked once, in place of the first try.
+	Canary *traverse.Among
+	// Else is asked where nobody of Version can be.
+	Else *traverse.Among
 
 	Tried []*traverse.Peer
 	// Lent: the first try went by way of another front; whom that asked is not known.
@@ -35,6 +41,11 @@
 	Last traverse.Outcome
 }
 
+// Among names the searchers that the leg's tries go to.
+func (l *Leg) Among() traverse.Among {
+	return traverse.Among{Service: l.Service, Version: l.Version, Holders: l.Holders}
+}
+
 // Passes tells whether the last answer may be given back as it is: nothing is
 // under way, and no promise that nothing ran is made where something may have.
 func (l *Leg) Passes() bool {
--- a/internal/gather/run.go
+++ b/internal/gather/run.go
@@ -64,8 +64,10 @@
 		}
 		_, p90 := g.Range.Latency(l.Service)
 		hedge[i] = t.Start.Add(max(p90, time.Duration(at*float64(t.Target))))
-		peer, start := g.Range.Choose(l.Service, l.Holders, nil, t.Target, false)
+		peer, start, canary := g.first(l, t.Target)
 		switch {
+		case canary:
+			g.send(p, i, peer, start, r, t, results)
 		case peer == nil && across == nil:
 			p.Launched(i, nil)
 		case across != nil && (peer == nil || !peer.Near()):
@@ -119,6 +121,29 @@
 	}
 }
 
+// first chooses whom a leg asks first. A new version on trial is reached
+// directly, however far it is: the front asked for the way across would count
+// it again.
+func (g *Guide) first(l *Leg, target time.Duration) (peer *traverse.Peer, start time.Time, canary bool) {
+	if l.Canary != nil {
+		if peer, start = g.Range.Choose(*l.Canary, nil, target, false); peer != nil {
+			return peer, start, true
+		}
+	}
+	peer, start = g.choose(l, nil, target, false)
+	return peer, start, false
+}
+
+// choose picks among the leg's searchers, or where none of them can be asked
+// and others may be, among those.
+func (g *Guide) choose(l *Leg, not []*traverse.Peer, target time.Duration, spare bool) (*traverse.Peer, time.Time) {
+	peer, start := g.Range.Choose(l.Among(), not, target, spare)
+	if peer == nil && l.Else != nil {
+		return g.Range.Choose(*l.Else, not, target, spare)
+	}
+	return peer, start
+}
+
 func (p *Party) outstanding() int {
 	n := 0
 	for _, l := range p.Legs {
@@ -159,10 +184,10 @@
 // itself: under load they would only add to it.
 func (g *Guide) again(p *Party, i int, spare bool, r *traverse.Request, t Times, results chan heard) {
 	l := p.Legs[i]
-	peer, start := g.Range.Choose(l.Service, l.Holders, l.Tried, t.Target, spare)
+	peer, start := g.choose(l, l.Tried, t.Target, spare)
 	if peer == nil && l.Lent {
 		// Perhaps it was the other front that failed, not the searcher.
-		peer, start = g.Range.Choose(l.Service, l.Holders, nil, t.Target, spare)
+		peer, start = g.choose(l, nil, t.Target, spare)
 	}
 	if peer == nil {
 		p.GaveUp(i)
@@ -201,7 +226,7 @@
 		if f.peer == nil {
 			least = 1
 		}
-		for _, z := range g.Range.Zones(p.Legs[f.leg].Service, p.Legs[f.leg].Holders) {
+		for _, z := range g.Range.Zones(p.Legs[f.leg].Among()) {
 			count[z]++
 		}
 	}
@@ -231,7 +256,7 @@
 			var rest []farLeg
 			for _, f := range far {
 				l := p.Legs[f.leg]
-				peer := g.Range.In(l.Service, l.Holders, most)
+				peer := g.Range.In(l.Among(), most)
 				if peer == nil {
 					rest = append(rest, f)
 					continue
--- a/internal/hutbook/hutbook.go
+++ b/internal/hutbook/hutbook.go
@@ -1,6 +1,8 @@
 package hutbook
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sort"
 )
@@ -29,8 +31,10 @@
 	Service string
 	Addr    string
 	Zone    string
-	Slots   int  `json:",omitempty"`
-	Drains  bool `json:",omitempty"`
+	// Version is that of its software.
+	Version string `json:",omitempty"`
+	Slots   int    `json:",omitempty"`
+	Drains  bool   `json:",omitempty"`
 	// Cold: it started so lately that it still runs slow.
 	Cold bool `json:",omitempty"`
 	// Entry is the searcher's sequential number: earlier ones have the slots first.
@@ -42,6 +46,9 @@
 	Stamp     Stamp
 	NextEntry int64
 	Searchers []Searcher
+	// First is the version that each service's searchers had when they were
+	// first listed; it is in force until an order moves the service.
+	First map[string]string `json:",omitempty"`
 }
 
 // Delta is what changed between two tables. Searchers that only began to
@@ -50,10 +57,11 @@
 type Delta struct {
 	From, To  Stamp
 	NextEntry int64
-	Set       []Searcher `json:",omitempty"`
-	Drains    []int64    `json:",omitempty"`
-	Warm      []int64    `json:",omitempty"`
-	Gone      []int64    `json:",omitempty"`
+	Set       []Searcher        `json:",omitempty"`
+	Drains    []int64           `json:",omitempty"`
+	Warm      []int64           `json:",omitempty"`
+	Gone      []int64           `json:",omitempty"`
+	First     map[string]string `json:",omitempty"`
 }
 
 // Diff gives the way from one table to another, or from none to the first.
@@ -89,6 +97,14 @@
 		d.Gone = append(d.Gone, entry)
 	}
 	slices.Sort(d.Gone)
+	for service, v := range to.First {
+		if from.First[service] == "" {
+			if d.First == nil {
+				d.First = map[string]string{}
+			}
+			d.First[service] = v
+		}
+	}
 	return d
 }
 
@@ -105,7 +121,11 @@
 		set[s.Entry] = s
 	}
 	drains, warm, gone := entries(d.Drains), entries(d.Warm), entries(d.Gone)
-	n := &Table{Stamp: d.To, NextEntry: d.NextEntry}
+	n := &Table{Stamp: d.To, NextEntry: d.NextEntry, First: maps.Clone(t.First)}
+	if n.First == nil {
+		n.First = map[string]string{}
+	}
+	maps.Copy(n.First, d.First)
 	for _, s := range t.Searchers {
 		if gone[s.Entry] {
 			continue
@@ -172,5 +192,32 @@
 		}
 		changed = changed || !ok || *s != k
 	}
+	if old != nil {
+		t.First = maps.Clone(old.First)
+	}
+	if t.First == nil {
+		t.First = map[string]string{}
+	}
+	t.meet()
 	return t, changed
 }
+
+// meet notes the versions of services that were never listed before: where
+// there are several, the one of most searchers, and of these the lowest.
+func (t *Table) meet() {
+	count := map[string]map[string]int{}
+	for _, s := range t.Searchers {
+		if s.Version == "" || t.First[s.Service] != "" {
+			continue
+		}
+		if count[s.Service] == nil {
+			count[s.Service] = map[string]int{}
+		}
+		count[s.Service][s.Version]++
+	}
+	for service, versions := range count {
+		t.First[service] = slices.MinFunc(slices.Collect(maps.Keys(versions)), func(a, b string) int {
+			return cmp.Or(cmp.Compare(versions[b], versions[a]), cmp.Compare(a, b))
+		})
+	}
+}
--- a/internal/lodge/agree.go
+++ b/internal/lodge/agree.go
@@ -177,7 +177,7 @@
 			var say joinSay
 			err := h.n.call.Ask(addr, pathJoin, joinAsk{h.acc.ID, h.n.set().IpAddress}, &say, signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.4))
 			logbook.Log(logbook.JoinAsked, "of", ip, "votes", say.Votes, "err", err)
-			if err == nil {
+			if err == nil && say.Votes {
 				break
 			}
 		}
--- a/internal/lodge/duty.go
+++ b/internal/lodge/duty.go
@@ -157,7 +157,7 @@
 			}
 			seen[i.InstanceID] = true
 			out = append(out, hutbook.Searcher{
-				ID: i.InstanceID, Service: i.Service, Addr: i.Address, Zone: i.Zone, Slots: i.Slots,
+				ID: i.InstanceID, Service: i.Service, Addr: i.Address, Zone: i.Zone, Version: i.Version, Slots: i.Slots,
 				Drains: i.State != "ready", Cold: i.ColdRemainingMs > 0,
 			})
 		}
--- a/internal/lodge/hut.go
+++ b/internal/lodge/hut.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"swiftswitch/internal/belay"
 	"swiftswitch/internal/cairn"
 	"swiftswitch/internal/cellar"
 	"swiftswitch/internal/depot"
@@ -58,6 +59,7 @@
 	keepers map[string]time.Duration
 	purges  chan *purgeWait
 	gossip  gossip
+	course  course
 	// spreading: what is new in gossip goes out in a moment.
 	spreading bool
 	// known are the fronts that this hut or another heard, and when.
@@ -83,6 +85,8 @@
 	out int
 	// first: it watches this hut before others. larder: it serves no clients.
 	first, larder bool
+	// rolled is the slot up to which it knows the rollouts.
+	rolled int64
 }
 
 // knownFront is a front that this hut or another heard at a time.
@@ -130,6 +134,7 @@
 	recEpoch    = "epoch"
 	recTable    = "table"
 	recFronts   = "fronts"
+	recTerms    = "terms"
 )
 
 func newHut(n *Node) (*hut, error) {
@@ -150,7 +155,8 @@
 	var body bodyRecord
 	var ep epochRecord
 	var id string
-	for name, v := range map[string]any{recIdentity: &id, recState: &h.acc.State, recBody: &body, recBallot: &rec, recEpoch: &ep, recTable: &h.table, recFronts: &h.before} {
+	var terms belay.Noted
+	for name, v := range map[string]any{recTerms: &terms, recIdentity: &id, recState: &h.acc.State, recBody: &body, recBallot: &rec, recEpoch: &ep, recTable: &h.table, recFronts: &h.before} {
 		raw, err := cel.Get(name)
 		if err != nil {
 			return nil, err
@@ -190,6 +196,8 @@
 	h.duty = warden.New(id, ep.Epoch, n.heartbeat(1.25), n.steady())
 	h.duty.See(ep.Epoch, ep.Holder)
 	h.setOrder()
+	h.course = newCourse(terms, n.steady())
+	h.follow()
 	return h, nil
 }
 
@@ -255,6 +263,7 @@
 	go h.dutyLoop()
 	go h.joinLoop()
 	go h.purgeLoop()
+	go h.rolloutLoop()
 }
 
 // setOrder follows the voters; it runs on the desk.
@@ -283,6 +292,7 @@
 		h.learned = h.n.steady()
 	}
 	h.setOrder()
+	h.follow()
 	h.putState(s.Version != old.Version, nil)
 	if s.Version != old.Version {
 		clear(h.packed)
@@ -391,6 +401,18 @@
 		} else {
 			rope.Answer(c, 503, map[string]string{"Error": "not agreed"})
 		}
+	case pathTally:
+		var m tally
+		if rope.Read(c, &m) {
+			h.desk.ask(func() { h.takeTally(m) })
+			rope.Answer(c, 200, struct{}{})
+		}
+	case pathLedger:
+		var m ledger
+		if rope.Read(c, &m) {
+			h.desk.ask(func() { h.takeLedger(m) })
+			rope.Answer(c, 200, struct{}{})
+		}
 	case pathRoll:
 		var r roll
 		h.desk.ask(func() { r = h.roll() })
@@ -450,6 +472,7 @@
 	b := beat{ID: h.acc.ID, IP: h.n.set().IpAddress, Slot: h.acc.State.Slot, Epoch: h.duty.Epoch, Holder: h.duty.Holder, Zone: h.n.set().Zone, Leaving: h.n.leaving.Load()}
 	b.Unfit = !h.duty.Fit(h.n.steady())
 	b.Roll = h.roll().Roll
+	b.Spent = h.course.clock.Note(h.runs, time.Now(), h.n.steady()).Spent
 	if h.table != nil {
 		b.Stamp = h.table.Stamp
 	}
@@ -464,6 +487,11 @@
 	if b.Leaving || b.Unfit {
 		h.duty.Leave(b.ID)
 	}
+	for order, ms := range b.Spent {
+		if h.runs(order) {
+			h.course.clock.Hear(order, time.Duration(ms)*time.Millisecond, now)
+		}
+	}
 	if r := h.rolls[b.IP]; r.Roll != b.Roll && !r.asking {
 		r.asking = true
 		h.rolls[b.IP] = r
@@ -596,7 +624,7 @@
 
 // seen notes a node that watches; it runs on the desk.
 func (h *hut) seen(m watchAsk, until time.Duration) {
-	h.fronts[m.Name] = frontSeen{h.n.steady(), until + h.n.heartbeat(1), m.Slot, m.IP, m.Zone, m.Ready, m.Out, m.First, m.Larder}
+	h.fronts[m.Name] = frontSeen{h.n.steady(), until + h.n.heartbeat(1), m.Slot, m.IP, m.Zone, m.Ready, m.Out, m.First, m.Larder, m.Rolled}
 }
 
 // say tells a watcher what it lacks; it runs on the desk.
@@ -621,12 +649,16 @@
 	if m.Roster {
 		say.Roster = h.roster(now, m.Zone)
 	}
+	if say.RolledTo = s.Slot; !m.Hello && s.Slot > m.Rolled {
+		say.Rollouts = s.RolloutsAfter(m.Rolled)
+		news = len(say.Rollouts) > 0
+	}
 	if m.Purge >= 0 {
 		say.Purges = s.PurgesAfter(m.Purge)
 	}
 	if say.Heard = h.gossip.seq; m.First && !m.Hello && m.Heard != say.Heard {
 		say.Dark = h.gossip.tell(now, h.n.heartbeat(2))
-		news = len(say.Dark) > 0
+		news = news || len(say.Dark) > 0
 	}
 	if h.table != nil {
 		say.Stamp = h.table.Stamp
@@ -909,29 +941,39 @@
 	if version <= base {
 		return 400, taken{why: "Version is not above the one it builds on"}
 	}
+	status, why := h.settle(&cairn.Value{Version: version, Base: base, Body: body, Sent: sum}, patch, until)
+	if status != 200 {
+		return status, taken{why: why}
+	}
+	// Not under the lock of proposals: a node that is to vote must be let in meanwhile.
+	if !h.grown(until) {
+		return 503, taken{why: "too few nodes hold it yet"}
+	}
+	h.held(h.state().Slot, signpost.Ms(bounds.AcknowledgeMs, 0.1))
+	return 200, taken{version: version}
+}
+
+// settle has a configuration decided, merged from a patch where there is one.
+func (h *hut) settle(own *cairn.Value, patch *signpost.Patch, until time.Time) (status int, why string) {
+	version, base, bounds := own.Version, own.Base, h.n.set().Bounds
 	h.proposing.Lock()
 	defer h.proposing.Unlock()
-	own := &cairn.Value{Version: version, Base: base, Body: body, Sent: sum}
 	for try := 0; ; try++ {
 		s := h.state()
-		if s.Has(version, base, sum) {
-			if !h.grown(until) {
-				return 503, taken{why: "too few nodes hold it yet"}
-			}
-			h.held(s.Slot, signpost.Ms(bounds.AcknowledgeMs, 0.1))
-			return 200, taken{version: version}
+		if s.Has(version, base, own.Sent) {
+			return 200, ""
 		}
 		if base < s.Version {
-			return 412, taken{why: "version " + strconv.FormatInt(s.Version, 10) + " is current"}
+			return 412, "version " + strconv.FormatInt(s.Version, 10) + " is current"
 		}
 		if base > s.Version {
 			// This node may be behind: whoever knows more will say so.
 			fresh, ok := h.read(signpost.Ms(bounds.AcknowledgeMs, 0.3))
 			if ok && fresh.Version < base {
-				return 412, taken{why: "version " + strconv.FormatInt(fresh.Version, 10) + " is current"}
+				return 412, "version " + strconv.FormatInt(fresh.Version, 10) + " is current"
 			}
 			if !ok && time.Now().After(until) {
-				return 503, taken{why: "no majority can be reached"}
+				return 503, "no majority can be reached"
 			}
 			if !ok {
 				h.pause(try)
@@ -944,13 +986,13 @@
 				_, err = signpost.ParseConfiguration(whole)
 			}
 			if err != nil {
-				return 400, taken{why: err.Error()}
+				return 400, err.Error()
 			}
 			own.Body = string(whole)
 		}
 		if !h.round(s, own) {
 			if time.Now().After(until) {
-				return 503, taken{why: "no majority agreed in time"}
+				return 503, "no majority agreed in time"
 			}
 			h.pause(try)
 		}
--- a/internal/lodge/larder.go
+++ b/internal/lodge/larder.go
@@ -204,13 +204,15 @@
 		aim = r.Target
 		until = f.Began + r.Timeout
 	}
-	peer, start := k.t.rng.Choose(f.Service, nil, nil, aim, false)
+	peer, start := k.t.choose(f.Service, aim)
 	if peer == nil {
 		k.failed(f, 503, "no searcher")
 		return
 	}
 	left := until - k.n.steady()
-	o := k.t.rng.Try(peer, traverse.Read(id, f.Host, f.Target, etag), start, time.Now().Add(left))
+	ask := traverse.Read(id, f.Host, f.Target, etag)
+	ask.Aim = aim
+	o := k.t.rng.Try(peer, ask, start, time.Now().Add(left))
 	defer o.Release()
 	switch {
 	case o.Verdict == traverse.Answered && o.Status == 304 && old != nil:
--- a/internal/lodge/messages.go
+++ b/internal/lodge/messages.go
@@ -1,6 +1,7 @@
 package lodge
 
 import (
+	"swiftswitch/internal/belay"
 	"swiftswitch/internal/cairn"
 	"swiftswitch/internal/hutbook"
 	"swiftswitch/internal/saddle"
@@ -24,9 +25,12 @@
 	pathPeek    = "/rope/peek"
 	pathSaddle  = "/rope/saddle"
 	pathHearsay = "/rope/hearsay"
+	pathTally   = "/rope/tally"
+	pathLedger  = "/rope/ledger"
 	pathStatus  = "/rope/status"
 	pathConfig  = "/-/configuration"
 	pathPurge   = "/-/purge"
+	pathRollout = "/-/rollouts"
 )
 
 // learnAsk tells that a slot is decided: by a ballot whose value the
@@ -82,6 +86,8 @@
 	Leaving bool `json:",omitempty"`
 	// Unfit: the node's disk takes nothing; it can't have a duty.
 	Unfit bool `json:",omitempty"`
+	// Spent tells, by order, how many milliseconds of a rollout's term are over.
+	Spent map[int64]int64 `json:",omitempty"`
 	// Roll is the state of the list of fronts that watch this hut first; who
 	// lacks that asks for the list.
 	Roll int64
@@ -134,6 +140,8 @@
 	// Purge is the last that the node knows of; below 0 it asks for the last
 	// purge's number alone.
 	Purge int64
+	// Rolled is the slot up to which the node knows the rollouts, below 0 none.
+	Rolled int64
 	// Brief: the table itself is not wanted, only word of it.
 	Brief bool `json:",omitempty"`
 	// First: the node watches this hut before others, and is on its roll.
@@ -174,6 +182,29 @@
 	Floor   int64          `json:",omitempty"`
 	Purges  []cairn.Purge  `json:",omitempty"`
 	Larders []cairn.Larder `json:",omitempty"`
+	// Rollouts are the orders that changed since the slot that the asker knows
+	// them up to, RolledTo the slot that it knows them up to then.
+	Rollouts []cairn.Rollout `json:",omitempty"`
+	RolledTo int64
+}
+
+// tally is what a front saw of versions under way since its last one.
+type tally struct {
+	Name    string
+	Life    int64
+	Seq     int64
+	Entries []belay.Entry
+}
+
+// ledger is all that a hut was told of versions under way, for the one with
+// the duty; Behind counts, by order, the fronts it heard lately that do not
+// know the last phase.
+type ledger struct {
+	ID      string
+	Life    int64
+	Seq     int64
+	Entries []belay.Entry
+	Behind  map[int64]int `json:",omitempty"`
 }
 
 type shuffle struct {
--- a/internal/lodge/node.go
+++ b/internal/lodge/node.go
@@ -24,6 +24,7 @@
 	path     string
 	born     time.Time
 	call     *rope.Client
+	options  Options
 	stop     chan struct{}
 	leaving  atomic.Bool
 	sockets  []net.Listener
@@ -78,7 +79,7 @@
 
 // open makes a node of its settings.
 func open(s *signpost.Settings, path string, options Options) (*Node, error) {
-	n := &Node{path: path, born: time.Now(), stop: make(chan struct{})}
+	n := &Node{path: path, born: time.Now(), stop: make(chan struct{}), options: options}
 	n.settings.Store(s)
 	n.call = rope.NewClient(16, signpost.Ms(s.Bounds.InTouchMs, 1), n.userTimeout(), n.maxMessage())
 	n.view = newDesk()
@@ -187,6 +188,10 @@
 	case pathConfig, pathPurge:
 		n.handleControl(ctx, c)
 	default:
+		if isRollout(string(c.Request.URI().PathOriginal())) {
+			n.handleControl(ctx, c)
+			return
+		}
 		if n.hut == nil || !n.hut.handle(c) {
 			rope.Answer(c, 404, map[string]string{"Error": "no such call"})
 		}
@@ -196,15 +201,20 @@
 // handleControl takes the operator's calls and passes on what this node can't settle.
 func (n *Node) handleControl(_ context.Context, c *app.RequestContext) {
 	path, m := string(c.Request.URI().PathOriginal()), string(c.Request.Header.Method())
+	rollout := isRollout(path)
 	switch {
-	case path != pathConfig && path != pathPurge:
+	case path != pathConfig && path != pathPurge && !rollout:
 		rope.Answer(c, 404, map[string]string{"Error": "no such call"})
 	case path == pathConfig && m != "GET" && m != "PUT" && m != "PATCH":
 		rope.Answer(c, 405, map[string]string{"Error": "GET, PUT and PATCH only"})
 	case path == pathPurge && m != "POST":
 		rope.Answer(c, 405, map[string]string{"Error": "POST only"})
+	case rollout && m != "GET" && !(m == "POST" && path == pathRollout):
+		rope.Answer(c, 405, map[string]string{"Error": "POST " + pathRollout + " and GET only"})
 	case n.hut == nil || !n.hut.knows():
 		n.passOn(c, path)
+	case rollout:
+		n.hut.handleRollout(c, path)
 	case path == pathPurge:
 		n.hut.handlePurge(c)
 	default:
@@ -224,12 +234,14 @@
 	if v := string(c.Request.Header.Peek("If-Match")); v != "" {
 		hd["If-Match"] = v
 	}
+	none := false
 	for _, ip := range n.huts() {
 		if ip == n.set().IpAddress {
 			continue
 		}
 		rep, err := n.call.Call(n.set().RopeAddr(ip), string(c.Request.Header.Method()), path, hd, c.Request.Body(), signpost.Ms(n.set().Bounds.AcknowledgeMs, 0.8))
 		if err != nil || rep.Status == 503 || rep.Status == 404 {
+			none = none || err == nil && rep.Status == 404
 			continue
 		}
 		c.SetStatusCode(rep.Status)
@@ -237,6 +249,10 @@
 		c.Response.SetBodyRaw(rep.Body)
 		return
 	}
+	if none {
+		rope.Answer(c, 404, map[string]string{"Error": "there is none"})
+		return
+	}
 	rope.Answer(c, 503, map[string]string{"Error": "no node that keeps state can be reached"})
 }
 
--- a/internal/lodge/purge.go
+++ b/internal/lodge/purge.go
@@ -90,6 +90,11 @@
 
 func (h *hut) decidePurges(batch []*purgeWait) bool {
 	until := time.Now().Add(signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.6))
+	// Not under the lock of proposals: a node that is to vote must be let in meanwhile.
+	return h.choosePurges(batch, until) && h.grown(until)
+}
+
+func (h *hut) choosePurges(batch []*purgeWait, until time.Time) bool {
 	own := &cairn.Value{}
 	for _, w := range batch {
 		own.Purges = append(own.Purges, w.purge)
@@ -100,7 +105,7 @@
 		s := h.state()
 		if s.HasPurge(own.Purges[0].ID) {
 			logbook.Log(logbook.PurgesChosen, "last", s.PurgeSeq, "count", len(batch))
-			return h.grown(until)
+			return true
 		}
 		if time.Now().After(until) {
 			return false
--- /dev/null
+++ b/internal/lodge/rollout.go
@@ -0,0 +1,395 @@
+package lodge
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"swiftswitch/internal/belay"
+	"swiftswitch/internal/cairn"
+	"swiftswitch/internal/logbook"
+	"swiftswitch/internal/rope"
+	"swiftswitch/internal/signpost"
+)
+
+// The hut's part of rollouts: orders and their phases are decided in the log;
+// the node with the duty merges what all huts were told, runs the charts and
+// proposes the next phase.
+
+// course is a hut's table of rollouts; it belongs to the hut's desk.
+type course struct {
+	clock  *belay.Clock
+	ledger *belay.Ledger
+	judges map[int64]*belay.Judge
+	// known is when this life of the node learned an order's present phase.
+	known map[int64]phaseKnown
+	// told is the last tally of each front.
+	told map[string]tellOf
+	// behind is how many fronts lag behind a phase, as other huts told.
+	behind map[string]behindAt
+	seq    int64
+	noted  time.Duration
+}
+
+type phaseKnown struct {
+	slot int64
+	at   time.Duration
+}
+
+type tellOf struct{ life, seq int64 }
+
+type behindAt struct {
+	at     time.Duration
+	orders map[int64]int
+}
+
+func newCourse(n belay.Noted, now time.Duration) course {
+	return course{
+		clock: belay.NewClock(n, time.Now(), now), ledger: belay.NewLedger(), judges: map[int64]*belay.Judge{},
+		known: map[int64]phaseKnown{}, told: map[string]tellOf{}, behind: map[string]behindAt{},
+	}
+}
+
+// isRollout tells whether a path is one of the operator's for rollouts.
+func isRollout(path string) bool {
+	return path == pathRollout || strings.HasPrefix(path, pathRollout+"/")
+}
+
+// runs tells whether an order is not settled; it runs on the desk.
+func (h *hut) runs(order int64) bool {
+	return slices.ContainsFunc(h.acc.State.Rollouts, func(r cairn.Rollout) bool { return r.N == order && r.Running() })
+}
+
+// follow takes the orders as they were decided; it runs on the desk.
+func (h *hut) follow() {
+	now, known := h.n.steady(), h.course.known
+	h.course.known = map[int64]phaseKnown{}
+	for _, r := range h.acc.State.Rollouts {
+		if k := known[r.N]; k.slot == r.Slot {
+			h.course.known[r.N] = k
+			continue
+		}
+		h.course.known[r.N] = phaseKnown{r.Slot, now}
+		if r.Running() {
+			h.course.clock.Hear(r.N, time.Duration(r.SpentMs)*time.Millisecond, now)
+			h.noteTerms(now)
+		}
+		if r.Phase == cairn.Canary {
+			logbook.Log(logbook.RolloutOrdered, "service", r.Service, "from", r.From, "to", r.Target, "term", time.Duration(r.DurationMs)*time.Millisecond, "order", r.N)
+		} else {
+			logbook.Log(logbook.RolloutPhase, "service", r.Service, "to", r.Target, "phase", r.Phase, "spent", time.Duration(r.SpentMs)*time.Millisecond, "why", r.Why, "order", r.N)
+		}
+	}
+}
+
+// noteTerms keeps on disk how much of the terms is over; it runs on the desk.
+func (h *hut) noteTerms(now time.Duration) {
+	h.course.noted = now
+	h.put(recTerms, h.course.clock.Note(h.runs, time.Now(), now), nil)
+}
+
+// takeTally takes what a front saw; it runs on the desk.
+func (h *hut) takeTally(m tally) {
+	if old := h.course.told[m.Name]; old.life == m.Life && m.Seq <= old.seq || m.Life < old.life {
+		return
+	}
+	h.course.told[m.Name] = tellOf{m.Life, m.Seq}
+	m.Entries = slices.DeleteFunc(m.Entries, func(e belay.Entry) bool { return !h.runs(e.Order) })
+	h.course.ledger.Add(m.Entries)
+}
+
+// takeLedger takes all that another hut was told; it runs on the desk.
+func (h *hut) takeLedger(m ledger) {
+	h.course.behind[m.ID] = behindAt{h.n.steady(), m.Behind}
+	h.weigh(h.course.ledger.Merge(m.ID, m.Life, m.Seq, m.Entries))
+}
+
+// weigh gives what is new to the judges; it runs on the desk.
+func (h *hut) weigh(news []belay.Entry) {
+	byOrder := map[int64][]belay.Entry{}
+	for _, e := range news {
+		byOrder[e.Order] = append(byOrder[e.Order], e)
+	}
+	for _, r := range h.acc.State.Rollouts {
+		if r.Running() && len(byOrder[r.N]) > 0 {
+			h.judge(r).Add(byOrder[r.N])
+		}
+	}
+}
+
+func (h *hut) judge(r cairn.Rollout) *belay.Judge {
+	j := h.course.judges[r.N]
+	if j == nil {
+		j = belay.NewJudge(h.n.options.Rollout, time.Duration(r.DurationMs)*time.Millisecond, h.n.steady())
+		h.course.judges[r.N] = j
+	}
+	return j
+}
+
+// lagging counts, by order, the fronts that this hut heard lately and that do
+// not know the present phase; it runs on the desk.
+func (h *hut) lagging() map[int64]int {
+	out := map[int64]int{}
+	now := h.n.steady()
+	for _, r := range h.acc.State.Rollouts {
+		if !r.Running() {
+			continue
+		}
+		for _, f := range h.fronts {
+			if f.rolled < r.Slot && now < f.until {
+				out[r.N]++
+			}
+		}
+	}
+	return out
+}
+
+// rolloutLoop carries the orders that run.
+func (h *hut) rolloutLoop() {
+	for {
+		select {
+		case <-h.n.stop:
+			return
+		case <-time.After(h.n.heartbeat(0.15)):
+		}
+		var steps []cairn.Rollout
+		var send *ledger
+		to := ""
+		h.desk.ask(func() {
+			steps, send, to = h.carry()
+		})
+		if send != nil && to != "" {
+			go func() {
+				_ = h.n.call.Ask(h.n.set().RopeAddr(to), pathLedger, *send, nil, h.n.heartbeat(0.5))
+			}()
+		}
+		for _, r := range steps {
+			h.decide(r)
+		}
+	}
+}
+
+// carry does what is due now: it notes the time, tells the node with the duty
+// what was seen, or, on that node, gives the phases to propose. It runs on the desk.
+func (h *hut) carry() (steps []cairn.Rollout, send *ledger, to string) {
+	now, c := h.n.steady(), &h.course
+	running := slices.DeleteFunc(slices.Clone(h.acc.State.Rollouts), func(r cairn.Rollout) bool { return !r.Running() })
+	if len(running) == 0 {
+		if len(c.judges)+len(c.told) > 0 {
+			c.ledger.Forget(h.runs)
+			clear(c.judges)
+			clear(c.told)
+			clear(c.behind)
+		}
+		return nil, nil, ""
+	}
+	if now-c.noted >= h.n.heartbeat(1) {
+		h.noteTerms(now)
+	}
+	c.seq++
+	c.ledger.Forget(h.runs)
+	own := c.ledger.Own()
+	if !h.polling {
+		for ip, o := range h.others {
+			if o.id == h.duty.Holder {
+				to = ip
+			}
+		}
+		return nil, &ledger{h.acc.ID, h.born, c.seq, own, h.lagging()}, to
+	}
+	h.weigh(c.ledger.Merge(h.acc.ID, h.born, c.seq, own))
+	lag := h.lagging()
+	for _, r := range running {
+		j := h.judge(r)
+		for _, a := range j.Step(now) {
+			if a.Bad {
+				logbook.Log(logbook.ChartSignal, "service", r.Service, "version", r.Target, "metric", a.Metric, "route", a.Route)
+			} else {
+				logbook.Log(logbook.ChartFalse, "service", r.Service, "version", r.Target, "metric", a.Metric, "route", a.Route, "better", a.Better)
+			}
+		}
+		f := belay.Facts{
+			Rollout: r, Spent: c.clock.Spent(r.N, now), Since: now - c.known[r.N].at, Bad: j.Bad(), Rate: j.Rate(now), New: j.New, Good: j.Good,
+			Behind: lag[r.N], Report: h.n.heartbeat(0.6), Settle: signpost.Ms(h.n.set().Bounds.ConfigEffectMs, 0.5),
+		}
+		for _, b := range c.behind {
+			if now-b.at < h.n.heartbeat(1) {
+				f.Behind += b.orders[r.N]
+			}
+		}
+		f.Ready, f.Old = h.capacity(r)
+		if s := belay.Decide(f, h.n.options.Rollout, h.n.exposure()); s.Phase != "" {
+			steps = append(steps, cairn.Rollout{N: r.N, Service: r.Service, Target: r.Target, Phase: s.Phase, SpentMs: f.Spent.Milliseconds(), ForMs: s.For.Milliseconds(), Why: s.Why})
+		}
+	}
+	return steps, nil, ""
+}
+
+// capacity counts the slots of the new version's warm searchers, and those of
+// the old version's; it runs on the desk.
+func (h *hut) capacity(r cairn.Rollout) (ready, old int) {
+	if h.table == nil {
+		return 0, 0
+	}
+	for _, s := range h.table.Searchers {
+		if s.Service != r.Service || s.Drains {
+			continue
+		}
+		switch slots := max(1, s.Slots); {
+		case s.Version == r.Target && !s.Cold:
+			ready += slots
+		case s.Version == r.From:
+			old += slots
+		}
+	}
+	return ready, old
+}
+
+// decide proposes a phase. Whoever proposes what, the log takes only a later
+// phase of the same order.
+func (h *hut) decide(r cairn.Rollout) {
+	if !h.proposing.TryLock() {
+		return
+	}
+	defer h.proposing.Unlock()
+	until := time.Now().Add(signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.3))
+	for try := 0; time.Now().Before(until); try++ {
+		s := h.state()
+		now, ok := s.Rollout(r.Service)
+		if !ok || now.N != r.N || !now.Running() || now.Phase == r.Phase || !s.Votes(h.acc.ID) {
+			return
+		}
+		if !h.round(s, &cairn.Value{Rollout: &r}) {
+			h.pause(try)
+		}
+	}
+}
+
+// rolloutSize bounds an order in bytes.
+const rolloutSize = 16 << 10
+
+// rolloutSay is what the operator is told of an order.
+type rolloutSay struct {
+	Service       string
+	State         string
+	TargetVersion string
+	FromVersion   string `json:",omitempty"`
+	Phase         cairn.Phase
+	DurationS     float64
+	// LeftS is how much of the term is left, where the order runs.
+	LeftS float64 `json:",omitempty"`
+	Why   string  `json:",omitempty"`
+}
+
+// handleRollout takes the operator's calls.
+func (h *hut) handleRollout(c *app.RequestContext, path string) {
+	if string(c.Request.Header.Method()) == "GET" {
+		h.tellRollouts(c, strings.Trim(strings.TrimPrefix(path, pathRollout), "/"))
+		return
+	}
+	if len(c.Request.Body()) > rolloutSize {
+		rope.Answer(c, 413, map[string]string{"Error": "the order is too large"})
+		return
+	}
+	o, err := signpost.ParseRollout(c.Request.Body())
+	if err != nil {
+		logbook.Log(logbook.RolloutRefused, "why", err)
+		rope.Answer(c, 400, map[string]string{"Error": err.Error()})
+		return
+	}
+	until := time.Now().Add(signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.8))
+	status, why := h.takeOrder(cairn.Rollout{Service: o.Service, Target: o.TargetVersion, DurationMs: int64(max(1, o.DurationS*1000))}, until)
+	if status == 200 && !h.grown(until) {
+		status, why = 503, "too few nodes hold it yet"
+	}
+	if status != 200 {
+		logbook.Log(logbook.RolloutRefused, "service", o.Service, "status", status, "why", why)
+		rope.Answer(c, status, map[string]string{"Error": why})
+		return
+	}
+	rope.Answer(c, 200, map[string]string{"Service": o.Service, "TargetVersion": o.TargetVersion})
+}
+
+// takeOrder settles an order: acknowledged once a majority has chosen it.
+func (h *hut) takeOrder(o cairn.Rollout, until time.Time) (status int, why string) {
+	bounds := h.n.set().Bounds
+	h.proposing.Lock()
+	defer h.proposing.Unlock()
+	fresh := false
+	for try := 0; ; try++ {
+		s := h.state()
+		old, known := s.Rollout(o.Service)
+		switch {
+		case known && old.Same(o):
+			return 200, ""
+		case known && old.Running():
+			return 409, "Service has another rollout under way, to " + old.Target
+		case !serves(s, o.Service):
+			if fresh {
+				return 400, "Service is not in the configuration"
+			}
+			// This node may be behind: a majority knows.
+			if _, fresh = h.read(signpost.Ms(bounds.AcknowledgeMs, 0.3)); !fresh && time.Now().After(until) {
+				return 503, "no majority can be reached"
+			}
+			continue
+		}
+		if o.From = old.InForce(); !known {
+			h.desk.ask(func() {
+				if h.table != nil {
+					o.From = h.table.First[o.Service]
+				}
+			})
+		}
+		if time.Now().After(until) {
+			return 503, "no majority agreed in time"
+		}
+		if !h.round(s, &cairn.Value{Rollout: &o}) {
+			h.pause(try)
+		}
+	}
+}
+
+// serves tells whether the configuration in force names a service.
+func serves(s cairn.State, service string) bool {
+	c, err := signpost.TakeConfiguration([]byte(s.Body))
+	return err == nil && slices.ContainsFunc(c.Services, func(x *signpost.Service) bool { return x.Name == service })
+}
+
+// tellRollouts answers with the last order of a service, or with all.
+func (h *hut) tellRollouts(c *app.RequestContext, service string) {
+	s, ok := h.read(signpost.Ms(h.n.set().Bounds.AcknowledgeMs, 0.6))
+	if !ok {
+		logbook.Log(logbook.ReadUnsettled)
+		rope.Answer(c, 503, map[string]string{"Error": "no majority can be reached"})
+		return
+	}
+	all := h.rollouts(s)
+	if service == "" {
+		rope.Answer(c, 200, map[string]any{"Rollouts": all})
+		return
+	}
+	for _, r := range all {
+		if r.Service == service {
+			rope.Answer(c, 200, r)
+			return
+		}
+	}
+	rope.Answer(c, 404, map[string]string{"Error": "no rollout was ever ordered for this service"})
+}
+
+// rollouts tells how far the orders are, the last changed first.
+func (h *hut) rollouts(s cairn.State) []rolloutSay {
+	out := []rolloutSay{}
+	h.desk.ask(func() {
+		for _, r := range slices.Backward(s.Rollouts) {
+			x := rolloutSay{Service: r.Service, State: r.State(), TargetVersion: r.Target, FromVersion: r.From, Phase: r.Phase, DurationS: float64(r.DurationMs) / 1000, Why: r.Why}
+			if r.Running() {
+				x.LeftS = max(0, x.DurationS-h.course.clock.Spent(r.N, h.n.steady()).Seconds())
+			}
+			out = append(out, x)
+		}
+	})
+	return out
+}
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -13,6 +13,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/panjf2000/ants/v2"
+	"swiftswitch/internal/belay"
 	"swiftswitch/internal/fork"
 	"swiftswitch/internal/gather"
 	"swiftswitch/internal/hutbook"
@@ -56,6 +57,8 @@
 	Crowd float64
 	// Saddle: shards without a searcher in this zone are gathered by a front in another.
 	Saddle bool
+	// Rollout says how new versions are tried and judged.
+	Rollout belay.Options
 	// Hearsay: fronts tell each other, by way of huts, which searchers do not answer.
 	Hearsay bool
 }
@@ -68,7 +71,7 @@
 
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 6, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.89, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true, Hearsay: true}
+	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 6, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.89, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true, Hearsay: true, Rollout: belay.Defaults()}
 }
 
 // Check tells which option is out of its range, and what is allowed.
@@ -90,7 +93,7 @@
 			return fmt.Errorf("--%s is %v: it must be between %v and %v", r.name, r.v, r.least, r.most)
 		}
 	}
-	return nil
+	return o.Rollout.Check()
 }
 
 // trail is the part of a node that serves clients. Its tables belong to one desk.
@@ -141,6 +144,8 @@
 	// rosterAt is when the node last asked for other fronts.
 	rosterAt atomic.Int64
 
+	scout scout
+
 	ln   atomic.Pointer[net.Listener]
 	gate rope.Gate
 	// def are the limits for clients where the operator gives none.
@@ -149,8 +154,8 @@
 
 // holds is what a node has of all that the huts tell; it is never changed.
 type holds struct {
-	slot, version, purge int64
-	stamp                hutbook.Stamp
+	slot, version, purge, rolled int64
+	stamp                        hutbook.Stamp
 }
 
 func newTrail(n *Node, opt Options) (*trail, error) {
@@ -171,7 +176,7 @@
 		Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: signpost.Sec(b.RetryWindowS, 1), Keep: opt.BudgetKeep, Young: 0.3,
 	}, n.steady())
 	guide := &gather.Guide{Range: t.rng, Ledger: t.ledger, Pool: pool, Steady: n.steady, HedgeAt: opt.HedgeAt}
-	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5), Crowd: opt.Crowd}, guide)
+	t.head = trailhead.New(trailhead.Options{Soft: opt.Soft, Hard: 0.97, Late: opt.Late, RetryIn: 0.25, WriteWithin: n.userTimeout(), Hold: n.heartbeat(0.5), Crowd: opt.Crowd, Clock: t.clock, Deaf: n.deaf()}, guide)
 	if opt.Saddle {
 		t.choice = saddle.NewChoice(n.heartbeat(1))
 		t.head.SetAcross(t.choice, func(ip string, ask saddle.Ask, say *saddle.Say, within time.Duration) error {
@@ -200,13 +205,15 @@
 	t.board = switchback.New(switchback.Options{
 		R: opt.Slots, Least: 2, Lease: n.heartbeat(opt.LeaseBeats), Wait: signpost.Ms(b.ConfigEffectMs, opt.SwitchWait),
 	})
-	t.held.Store(&holds{slot: -1, purge: -1})
+	t.held.Store(&holds{slot: -1, purge: -1, rolled: -1})
 	t.rng.Full = func(id string) {
 		t.desk.post(func() { t.board.Answered(id, n.steady()); t.tick() })
 	}
 	t.rng.Silent = func(id string) {
 		t.desk.post(func() { t.board.Silent(id, n.steady()); t.tick() })
 	}
+	t.scout.reset(n.born)
+	t.rng.Seen = t.seen
 	t.rng.Miss = func() {
 		select {
 		case t.missed <- struct{}{}:
@@ -234,6 +241,7 @@
 		}
 	}
 	go t.tickLoop()
+	go t.tallyLoop()
 }
 
 func (t *trail) hutIPs() (out []string) {
@@ -315,7 +323,7 @@
 		}
 		h := t.held.Load()
 		ask := watchAsk{
-			Name: n.set().NodeName, IP: n.set().IpAddress, Slot: h.slot, Purge: h.purge, Stamp: h.stamp, Brief: brief && !first,
+			Name: n.set().NodeName, IP: n.set().IpAddress, Slot: h.slot, Purge: h.purge, Rolled: h.rolled, Stamp: h.stamp, Brief: brief && !first,
 			Zone: n.set().Zone, Ready: t.ready.Load() && !n.leaving.Load(), Out: t.rng.Out(), HoldMs: hold.Milliseconds(),
 			First: first, Larder: t.larder, Roster: first && t.rosterDue(), Hello: !t.placed.Load(), Heard: t.heard.Load(),
 		}
@@ -346,7 +354,7 @@
 				d = nil
 			}
 		}
-		t.desk.ask(func() { t.news(ip, say, d) })
+		t.desk.ask(func() { t.news(ip, ask, say, d) })
 		if ask.Hello {
 			if !t.placed.Load() {
 				time.Sleep(n.heartbeat(0.1))
@@ -395,7 +403,7 @@
 }
 
 // news takes what a hut said; it runs on the desk.
-func (t *trail) news(ip string, say watchSay, d *hutbook.Delta) {
+func (t *trail) news(ip string, ask watchAsk, say watchSay, d *hutbook.Delta) {
 	if len(say.Huts) > 0 && say.Slot >= t.held.Load().slot {
 		t.huts = say.Huts
 		t.placed.Store(true)
@@ -426,6 +434,9 @@
 		t.pantry.Take(say.Purge, say.Floor, say.Purges)
 		t.hold(func(h *holds) { h.purge = say.Purge })
 	}
+	if !ask.Hello {
+		t.takeRollouts(say)
+	}
 	delete(t.bad, ip)
 	t.counts[ip] = traverse.Fronts{All: say.Fronts, Region: say.Around, Zone: say.Here}
 	most := traverse.Fronts{All: 1}
@@ -460,6 +471,7 @@
 	t.hold(func(h *holds) { h.stamp = table.Stamp })
 	t.rng.SetTable(table)
 	t.board.Listed(table, t.n.steady())
+	t.setLanes()
 	t.tick()
 	t.publish()
 }
@@ -562,14 +574,14 @@
 			delete(t.maps, v)
 		}
 	}
-	s := &trailhead.Snapshot{Map: m, Holders: map[string][]string{}}
+	s := &trailhead.Snapshot{Map: m, Holders: map[string]map[string][]string{}, Lanes: t.scout.lanes}
 	for _, shard := range t.board.Current.Shards {
-		s.Holders[shard] = t.board.Holders(shard)
+		s.Holders[shard] = t.board.Held(shard)
 	}
 	for name, sv := range m.Services {
 		t.rng.SetLimit(name, int(sv.ConnectionLimit))
 	}
-	if t.table == nil {
+	if t.table == nil || t.held.Load().rolled < 0 {
 		return
 	}
 	t.head.Set(s)
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -56,6 +56,13 @@
 	CutSwitched Event = 5002
 	SlotFreed   Event = 5003
 
+	RolloutOrdered Event = 8001
+	RolloutPhase   Event = 8002
+	RolloutRefused Event = 8003
+	ChartSignal    Event = 8004
+	ChartFalse     Event = 8005
+	CanaryHalted   Event = 8006
+
 	FrontReady      Event = 6001
 	FrontUnready    Event = 6002
 	SearcherOut     Event = 6003
@@ -115,6 +122,12 @@
 	{PurgeUnsettled, "purge-unsettled", "warn", "No majority agreed on a purge in time; the operator sends it again."},
 	{LarderListed, "larder-listed", "info", "This node is one of those that keep copies and may fetch."},
 	{LarderStruck, "larder-struck", "warn", "Nodes that kept copies have been silent and are off the list; the others take their part."},
+	{RolloutOrdered, "rollout-ordered", "info", "A majority chose an order to move a service to another version of its searchers."},
+	{RolloutPhase, "rollout-phase", "info", "A majority chose the next phase of a rollout; why is named. completed and rolled_back are final."},
+	{RolloutRefused, "rollout-refused", "info", "An order of a rollout was refused; the reason is named."},
+	{ChartSignal, "chart-signal", "warn", "The charts speak against a new version, and most of its searchers bear it out; it is rolled back."},
+	{ChartFalse, "chart-false", "info", "A chart signalled, but not against the version: one searcher does worse, or the new version does better. The chart starts again from zero."},
+	{CanaryHalted, "canary-halted", "warn", "What this node saw itself speaks against a new version; it sends it nothing more, whatever the others see."},
 	{RequestRefused, "request-refused", "debug", "A malformed or oversize request was refused."},
 	{AnswerBroken, "answer-broken", "debug", "A searcher's bytes formed no answer, or too many; its connection was ended."},
 	{SearcherGarbles, "searcher-garbles", "warn", "A searcher sent bytes that belong to no request; its connections end, and for a while each carries one request only. See its own log."},
--- a/internal/signpost/patch.go
+++ b/internal/signpost/patch.go
@@ -140,3 +140,40 @@
 	}
 	return PurgeOrder{}, errors.New("a purge wants either HostName and Path, or Tag")
 }
+
+// RolloutOrder asks to move a service's requests to searchers of another version.
+type RolloutOrder struct {
+	Service, TargetVersion string
+	DurationS              float64
+}
+
+// rolloutMost bounds an order's term in seconds, versionMost a version's length in bytes.
+const (
+	rolloutMost = 30 * 24 * 3600
+	versionMost = 256
+)
+
+// ParseRollout reads the operator's order and checks all that can be checked
+// without knowing the services.
+func ParseRollout(raw []byte) (RolloutOrder, error) {
+	var o struct {
+		Service, TargetVersion *string
+		DurationS              *float64
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	if err := dec.Decode(&o); err != nil {
+		return RolloutOrder{}, fmt.Errorf("not an order of a rollout: %w", err)
+	}
+	if dec.More() {
+		return RolloutOrder{}, errors.New("more follows the order")
+	}
+	switch {
+	case o.Service == nil || *o.Service == "":
+		return RolloutOrder{}, errors.New("Service is missing")
+	case o.TargetVersion == nil || *o.TargetVersion == "" || len(*o.TargetVersion) > versionMost:
+		return RolloutOrder{}, fmt.Errorf("TargetVersion must have from 1 to %d bytes", versionMost)
+	case o.DurationS == nil || !(*o.DurationS > 0) || *o.DurationS > rolloutMost:
+		return RolloutOrder{}, fmt.Errorf("DurationS must be above 0 and at most %d", rolloutMost)
+	}
+	return RolloutOrder{*o.Service, *o.TargetVersion, *o.DurationS}, nil
+}
--- a/internal/signpost/settings.go
+++ b/internal/signpost/settings.go
@@ -115,6 +115,9 @@
 	if b.PurgeMs < 0 || b.StaleSlackS < 0 || b.CeilingWindowS < 0 || b.CeilingOvershoot != 0 && b.CeilingOvershoot < 1 {
 		bad("Bounds.PurgeMs, StaleSlackS and CeilingWindowS must not be negative, nor CeilingOvershoot below 1")
 	}
+	if b.ExposureShare < 0 || b.ExposureShare > 1 || b.ExposureSlack < 0 || b.RollbackMs < 0 {
+		bad("Bounds.ExposureSlack and RollbackMs must not be negative, and ExposureShare must be from 0 to 1")
+	}
 	if s.HeartbeatIntervalMs <= 0 {
 		bad("HeartbeatIntervalMs must be above 0")
 	}
--- a/internal/switchback/switchback.go
+++ b/internal/switchback/switchback.go
@@ -60,7 +60,10 @@
 
 	opt      Options
 	deadline time.Duration
-	slots    map[string][]Slot
+	slots    map[hold][]Slot
+	// versions lists, for a service, the versions of its searchers that may
+	// hold slots, the one in force first; services it lacks make no difference.
+	versions map[string][]string
 	listed   map[string][]hutbook.Searcher
 	full     map[string]bool
 	// silent searchers lost their slots; they stand last in line until they answer.
@@ -68,9 +71,12 @@
 	freed  []Freed
 }
 
+// hold names the slots of one shard for one version of its searchers.
+type hold struct{ shard, version string }
+
 // New makes a board without a current cut.
 func New(o Options) *Board {
-	return &Board{opt: o, slots: map[string][]Slot{}, listed: map[string][]hutbook.Searcher{}, full: map[string]bool{}, silent: map[string]time.Duration{}}
+	return &Board{opt: o, slots: map[hold][]Slot{}, listed: map[string][]hutbook.Searcher{}, full: map[string]bool{}, silent: map[string]time.Duration{}}
 }
 
 // Built takes a chosen version with its cut; age is how long ago it was
@@ -119,6 +125,22 @@
 	b.assign(now)
 }
 
+// SetVersions says which versions of services' searchers may hold slots. Each
+// has R of its own: searchers of a new version push none of the old one out.
+func (b *Board) SetVersions(v map[string][]string, now time.Duration) {
+	b.versions = v
+	b.assign(now)
+}
+
+// held lists the versions that hold slots of a shard, the one in force first;
+// an empty one stands for any.
+func (b *Board) held(shard string) []string {
+	if v := b.versions[shard]; len(v) > 0 {
+		return v
+	}
+	return []string{""}
+}
+
 // Answered notes a full answer of a searcher: it is loaded, and its lease is renewed.
 func (b *Board) Answered(id string, now time.Duration) {
 	b.full[id] = true
@@ -159,15 +181,15 @@
 // as many as there are searchers, Least at any rate.
 func (b *Board) Ready(c Cut) bool {
 	for _, shard := range c.Shards {
-		there := 0
+		there, version := 0, b.held(shard)[0]
 		for _, s := range b.listed[shard] {
-			if !s.Drains {
+			if !s.Drains && (version == "" || s.Version == version) {
 				there++
 			}
 		}
 		want := min(b.opt.R, max(b.opt.Least, there))
 		n := 0
-		for _, s := range b.slots[shard] {
+		for _, s := range b.slots[hold{shard, version}] {
 			if s.Full {
 				n++
 			}
@@ -186,7 +208,7 @@
 	}
 	var out []string
 	for _, shard := range b.Next.Shards {
-		for _, s := range b.slots[shard] {
+		for _, s := range b.slots[hold{shard, b.held(shard)[0]}] {
 			if !s.Full {
 				out = append(out, s.Searcher)
 			}
@@ -195,15 +217,28 @@
 	return out
 }
 
-// Holders lists the searchers that may take a query for a shard.
-func (b *Board) Holders(shard string) []string {
+// Holders lists the searchers that may take a query for a shard and belong to
+// the version in force.
+func (b *Board) Holders(shard string) []string { return b.HoldersOf(shard, b.held(shard)[0]) }
+
+// HoldersOf lists those of a version.
+func (b *Board) HoldersOf(shard, version string) []string {
 	var out []string
-	for _, s := range b.slots[shard] {
+	for _, s := range b.slots[hold{shard, version}] {
 		out = append(out, s.Searcher)
 	}
 	return out
 }
 
+// Held gives the holders of all versions that may hold slots of a shard.
+func (b *Board) Held(shard string) map[string][]string {
+	out := map[string][]string{}
+	for _, v := range b.held(shard) {
+		out[v] = b.HoldersOf(shard, v)
+	}
+	return out
+}
+
 // TakeFreed gives the slots freed since the last call.
 func (b *Board) TakeFreed() []Freed {
 	f := b.freed
@@ -224,21 +259,28 @@
 			shards[s] = true
 		}
 	}
-	for s := range b.slots {
-		if !shards[s] {
-			delete(b.slots, s)
+	holds := map[hold]bool{}
+	for shard := range shards {
+		for _, v := range b.held(shard) {
+			holds[hold{shard, v}] = true
 		}
 	}
-	for shard := range shards {
+	for h := range b.slots {
+		if !holds[h] {
+			delete(b.slots, h)
+		}
+	}
+	for at := range holds {
+		shard := at.shard
 		usable := map[string]hutbook.Searcher{}
 		for _, s := range b.listed[shard] {
-			if !s.Drains {
+			if !s.Drains && (at.version == "" || s.Version == at.version) {
 				usable[s.ID] = s
 			}
 		}
 		held := map[string]bool{}
 		var keep []Slot
-		for _, sl := range b.slots[shard] {
+		for _, sl := range b.slots[at] {
 			s, ok := usable[sl.Searcher]
 			if !ok {
 				b.freed = append(b.freed, Freed{shard, sl.Searcher, "drains or gone"})
@@ -274,6 +316,6 @@
 			}
 			keep = append(keep, Slot{Searcher: s.ID, Entry: s.Entry, Until: now + b.opt.Lease, Full: b.full[s.ID] || !s.Cold})
 		}
-		b.slots[shard] = keep
+		b.slots[at] = keep
 	}
 }
--- a/internal/trailhead/across.go
+++ b/internal/trailhead/across.go
@@ -73,8 +73,9 @@
 		if i < 0 || i >= len(route.Gathered) {
 			return saddle.Say{}, false
 		}
-		legs = append(legs, snap.leg(route.Gathered[i]))
+		legs = append(legs, snap.leg(route.Gathered[i], h.steadyWay(snap, route.Gathered[i])))
 	}
+	req.Route, req.Aim = route.Name, route.Target
 	h.busy.Add(1)
 	h.lent.Add(1)
 	defer h.busy.Add(-1)
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"swiftswitch/internal/belay"
 	"swiftswitch/internal/fork"
 	"swiftswitch/internal/gather"
 	"swiftswitch/internal/logbook"
@@ -21,18 +22,55 @@
 // of its cut. It is never changed.
 type Snapshot struct {
 	Map *fork.Map
-	// Holders names, for each shard of the cut, the searchers with a slot.
-	Holders map[string][]string
+	// Holders names, for each shard of the cut and version of its searchers,
+	// those with a slot.
+	Holders map[string]map[string][]string
+	// Lanes says to which versions of a service's searchers requests may go.
+	Lanes map[string]*belay.Lane
 }
 
 // leg is the part of a gathered request that goes to a shard: to its holders
 // and to nobody else, even where there are none.
-func (s *Snapshot) leg(shard string) *gather.Leg {
-	holders := s.Holders[shard]
-	if holders == nil {
-		holders = []string{}
+func (s *Snapshot) leg(shard string, w belay.Way) *gather.Leg {
+	return s.make(shard, w, func(version string) []string {
+		if l := s.Holders[shard][version]; l != nil {
+			return l
+		}
+		return []string{}
+	})
+}
+
+// alone is the one part of a request to a single service: any searcher will do.
+func (s *Snapshot) alone(service string, w belay.Way) *gather.Leg {
+	return s.make(service, w, func(string) []string { return nil })
+}
+
+func (s *Snapshot) make(service string, w belay.Way, holders func(version string) []string) *gather.Leg {
+	l := &gather.Leg{Service: service, Version: w.Then, Holders: holders(w.Then)}
+	if w.Once != "" {
+		l.Canary = &traverse.Among{Service: service, Version: w.Once, Holders: holders(w.Once)}
 	}
-	return &gather.Leg{Service: shard, Holders: holders}
+	if w.Else != "" {
+		l.Else = &traverse.Among{Service: service, Version: w.Else, Holders: holders(w.Else)}
+	}
+	return l
+}
+
+// way draws to which version of a service's searchers one request goes.
+func (h *Head) way(s *Snapshot, service string) belay.Way {
+	l := s.Lanes[service]
+	if l == nil {
+		return belay.Way{}
+	}
+	now, heard := h.opt.Clock()
+	return l.Way(now, heard, h.opt.Deaf, rand.Float64())
+}
+
+// steadyWay is the way of a request that another front counts: no canary.
+func (h *Head) steadyWay(s *Snapshot, service string) belay.Way {
+	w := h.way(s, service)
+	w.Once = ""
+	return w
 }
 
 // Options are ratios.
@@ -51,6 +89,10 @@
 	Crowd float64
 	// Hold is how long a request may wait for a node that just started.
 	Hold time.Duration
+	// Clock tells steady time, and how long ago a hut in touch with a majority
+	// answered; beyond Deaf of that the node keeps to versions that are settled.
+	Clock func() (now, heard time.Duration)
+	Deaf  time.Duration
 }
 
 // Head serves clients.
@@ -210,6 +252,7 @@
 	if v.route = v.snap.Map.Match(v.req.Host, v.req.Target); v.route == nil {
 		return h.refuse(v, 404, "no route")
 	}
+	v.req.Route, v.req.Aim = v.route.Name, v.route.Target
 	return true
 }
 
@@ -262,10 +305,11 @@
 	if len(r.Gathered) > 0 {
 		terms.Need = r.Share
 		for _, s := range r.Gathered {
-			legs = append(legs, v.snap.leg(s))
+			legs = append(legs, v.snap.leg(s, h.way(v.snap, s)))
 		}
 	} else {
-		legs = []*gather.Leg{{Service: r.Pick(rand.Float64())}}
+		s := r.Pick(rand.Float64())
+		legs = []*gather.Leg{v.snap.alone(s, h.way(v.snap, s))}
 	}
 	// The lower a request's priority, the sooner it is refused; one that is
 	// late already makes room for those that can be in time.
@@ -302,7 +346,7 @@
 func (h *Head) crowded(legs []*gather.Leg, factor float64) bool {
 	n := 0
 	for _, l := range legs {
-		if h.guide.Range.Crowded(l.Service, l.Holders, factor) {
+		if h.guide.Range.Crowded(l.Among(), factor) {
 			n++
 		}
 	}
--- a/internal/traverse/garble_test.go
+++ b/internal/traverse/garble_test.go
@@ -89,7 +89,7 @@
 			t.Fatal(err)
 		}
 		ask := func() Outcome {
-			p, start := g.Choose("s", nil, nil, time.Second, false)
+			p, start := g.Choose(Among{Service: "s"}, nil, time.Second, false)
 			o := g.Try(p, req, start, time.Now().Add(250*time.Millisecond))
 			time.Sleep(60 * time.Millisecond)
 			return o
--- a/internal/traverse/hearsay_test.go
+++ b/internal/traverse/hearsay_test.go
@@ -41,24 +41,24 @@
 		t.Fatalf("a node that is ill itself accuses %v", got)
 	}
 	near = g.peers["i-7-0"]
-	if p, start := g.Choose("s7", nil, nil, target, false); p != near {
+	if p, start := g.Choose(Among{Service: "s7"}, nil, target, false); p != near {
 		t.Fatal("the near one is not preferred")
 	} else {
 		g.Unchoose(p, start)
 	}
 	g.Tell([]int64{near.Entry}, time.Now().Add(time.Minute))
-	if p, start := g.Choose("s7", nil, nil, target, false); p == near {
+	if p, start := g.Choose(Among{Service: "s7"}, nil, target, false); p == near {
 		t.Fatal("what others tell is not heard")
 	} else {
 		g.Unchoose(p, start)
 	}
-	if p, start := g.Choose("s7", []string{near.ID}, nil, target, false); p != near {
+	if p, start := g.Choose(Among{Service: "s7", Holders: []string{near.ID}}, nil, target, false); p != near {
 		t.Fatal("the last resort is not asked")
 	} else {
 		g.Unchoose(p, start)
 	}
 	end(near, answered, 5*time.Millisecond)
-	if p, _ := g.Choose("s7", nil, nil, target, false); p != near {
+	if p, _ := g.Choose(Among{Service: "s7"}, nil, target, false); p != near {
 		t.Fatal("an answer does not prove the others wrong")
 	}
 }
--- a/internal/traverse/reach.go
+++ b/internal/traverse/reach.go
@@ -49,8 +49,10 @@
 // reach finds which searchers of a service this node may reach. Of those in
 // good order at one distance it takes the ones with the highest draws, so that
 // another takes the place of one that fails. All fronts together stay within
-// the limit without talk, as long as they count each other alike.
-func (g *Range) reach(service string, t *track, now time.Time) (r reach) {
+// the limit without talk, as long as they count each other alike. Searchers of
+// another version are others' business: each version has its own draws.
+func (g *Range) reach(service, version string, t *track, now time.Time) (r reach) {
+	among := &Among{Version: version}
 	all := max(1, g.share.All)
 	if t.limit >= all {
 		n := t.limit / all
@@ -69,7 +71,7 @@
 		draws[far] = room[far][:0]
 	}
 	for _, p := range g.services[service] {
-		if g.usable(p, nil, now) {
+		if g.usable(p, among, now) {
 			draws[p.far] = append(draws[p.far], p.draw)
 		}
 	}
--- a/internal/traverse/reach_test.go
+++ b/internal/traverse/reach_test.go
@@ -49,7 +49,7 @@
 	now := time.Now()
 	for _, g := range fronts {
 		t, any := g.track(service), false
-		r := g.reach(service, t, now)
+		r := g.reach(service, "", t, now)
 		for _, p := range g.services[service] {
 			n := max(0, g.limit(p, t, r, now))
 			if !g.usable(p, nil, now) {
@@ -115,12 +115,12 @@
 	g := fleet(1, 250, 1, func(int) Fronts { return all(300) })[0]
 	g.Silent = func(id string) { t.Fatalf("%s was called silent", id) }
 	for i := 0; i < 6; i++ {
-		p, start := g.Choose("s0", nil, nil, 100*time.Millisecond, false)
+		p, start := g.Choose(Among{Service: "s0"}, nil, 100*time.Millisecond, false)
 		g.learn(p, &Outcome{Verdict: Unknown, shut: true}, start)
 		if p.fails > 0 {
 			t.Fatal("a shut connection counts as a failure")
 		}
-		if q, again := g.Choose("s0", nil, nil, 100*time.Millisecond, false); q == p {
+		if q, again := g.Choose(Among{Service: "s0"}, nil, 100*time.Millisecond, false); q == p {
 			t.Fatal("it is asked again at once")
 		} else {
 			g.Unchoose(q, again)
--- a/internal/traverse/request.go
+++ b/internal/traverse/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Names of the headers that the system itself reads or writes.
@@ -28,8 +29,12 @@
 	Target string
 	// DeadlineMs is what the client gave, below 0 where it gave nothing.
 	DeadlineMs float64
-	head       []byte
-	body       []byte
+	// Route is the name of the route that it came by, Aim the time in which
+	// an answer earns its full worth.
+	Route string
+	Aim   time.Duration
+	head  []byte
+	body  []byte
 }
 
 // hop holds the headers that concern one connection only.
--- a/internal/traverse/traverse.go
+++ b/internal/traverse/traverse.go
@@ -67,6 +67,10 @@
 	// Body stands for the answer's body where another front brought it.
 	Body []byte
 	Err  error
+	// Took is how long the exchange lasted, the connection's opening left out.
+	Took time.Duration
+	// Cold: the searcher had started so lately that it ran slow.
+	Cold bool
 	// shut: a new connection ended before a byte of the answer came.
 	shut bool
 }
@@ -147,16 +151,17 @@
 	near   []*Peer
 	scores []float64
 	// Silent and Full are told of searchers that fall silent or answer fully,
-	// Miss that one did not answer.
+	// Miss that one did not answer, Seen of every try that a searcher was asked by.
 	Silent func(id string)
 	Full   func(id string)
 	Miss   func()
+	Seen   func(p *Peer, r *Request, o *Outcome)
 }
 
 // New makes an empty range.
 func New(o Options) *Range {
 	return &Range{opt: o, peers: map[string]*Peer{}, services: map[string][]*Peer{}, tracks: map[string]*track{},
-		Silent: func(string) {}, Full: func(string) {}, Miss: func() {}}
+		Silent: func(string) {}, Full: func(string) {}, Miss: func() {}, Seen: func(*Peer, *Request, *Outcome) {}}
 }
 
 // SetShare says how many front nodes share each searcher's connections.
@@ -226,21 +231,34 @@
 	}
 }
 
-// Choose picks the searcher that promises to answer first, among holders
-// where they are given, leaving out those in not. It counts the try as under
+// Among names the searchers that a try may go to: those of a service, of a
+// version where one is given, and of these only the holders where they are given.
+type Among struct {
+	Service string
+	Version string
+	Holders []string
+}
+
+// has tells whether a searcher of the service is among them.
+func (a *Among) has(p *Peer) bool {
+	return a == nil || (a.Version == "" || p.Version == a.Version) && (a.Holders == nil || contains(a.Holders, p.ID))
+}
+
+// Choose picks the searcher that promises to answer first among those
+// allowed, leaving out those in not. It counts the try as under
 // way; Try must follow. target is the route's aim. With spare, only a
 // searcher that is not known to be full will do.
-func (g *Range) Choose(service string, holders []string, not []*Peer, target time.Duration, spare bool) (*Peer, time.Time) {
+func (g *Range) Choose(a Among, not []*Peer, target time.Duration, spare bool) (*Peer, time.Time) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var best *Peer
 	bestScore := math.Inf(1)
-	t := g.track(service)
-	reach := g.reach(service, t, now)
+	t := g.track(a.Service)
+	reach := g.reach(a.Service, a.Version, t, now)
 	near, scores := g.near[:0], g.scores[:0]
-	for _, p := range g.services[service] {
-		if holders != nil && !contains(holders, p.ID) || has(not, p) {
+	for _, p := range g.services[a.Service] {
+		if !a.has(p) || has(not, p) {
 			continue
 		}
 		if limit := g.limit(p, t, reach, now); limit >= 0 && len(p.inflight) >= limit {
@@ -356,15 +374,15 @@
 
 // Crowded tells whether every searcher that may take a request has more than
 // factor times its slots to do already.
-func (g *Range) Crowded(service string, holders []string, factor float64) bool {
+func (g *Range) Crowded(a Among, factor float64) bool {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	any := false
-	t := g.track(service)
-	reach := g.reach(service, t, now)
-	for _, p := range g.services[service] {
-		if !g.usable(p, holders, now) {
+	t := g.track(a.Service)
+	reach := g.reach(a.Service, a.Version, t, now)
+	for _, p := range g.services[a.Service] {
+		if !g.usable(p, &a, now) {
 			continue
 		}
 		limit := g.limit(p, t, reach, now)
@@ -453,6 +471,9 @@
 	o := g.try(p, r, deadline)
 	o.Peer = p
 	g.learn(p, &o, start)
+	if !o.shut && (o.Verdict == Answered || o.Verdict == Unknown) {
+		g.Seen(p, r, &o)
+	}
 	return o
 }
 
@@ -472,6 +493,7 @@
 		left = time.Until(deadline)
 	}
 	out := protocol.AcquireResponse()
+	began := time.Now()
 	sent, err := c.Exchange(r.bytesFor(p.ID, int64(left/time.Millisecond)), deadline, r.Method == "HEAD", g.opt.MaxBody, out)
 	if err == nil {
 		if id := out.Header.Peek(HeaderRequestID); len(id) > 0 && string(id) != r.ID {
@@ -485,9 +507,9 @@
 			return Outcome{Verdict: Unsent, Err: err}
 		}
 		logbook.Log(logbook.AnswerBroken, "searcher", p.ID, "err", err)
-		return Outcome{Verdict: Unknown, Err: err, shut: fresh && ended(err)}
+		return Outcome{Verdict: Unknown, Err: err, Took: time.Since(began), shut: fresh && ended(err)}
 	}
-	o := Outcome{Verdict: Answered, Status: out.StatusCode(), Stamp: string(out.Header.Peek(HeaderStamp)), Resp: out}
+	o := Outcome{Verdict: Answered, Status: out.StatusCode(), Stamp: string(out.Header.Peek(HeaderStamp)), Resp: out, Took: time.Since(began)}
 	if o.Status == 421 || len(out.Header.Peek(HeaderNotRun)) > 0 {
 		o.Verdict = NotRun
 	}
@@ -565,6 +587,7 @@
 	full, silent, missed := false, false, false
 	g.mu.Lock()
 	p.ended(start)
+	o.Cold = p.Cold
 	switch {
 	case o.Verdict == Answered || o.Verdict == NotRun && o.Status != 421:
 		if p.fails >= g.opt.FailsOut {
@@ -654,7 +677,7 @@
 			continue
 		}
 		t := g.track(p.Service)
-		most := g.limit(p, t, g.reach(p.Service, t, now), now)
+		most := g.limit(p, t, g.reach(p.Service, p.Version, t, now), now)
 		keep := p.idle[:0]
 		for i, c := range p.idle {
 			if now.Sub(c.IdleSince) >= c.IdleFor || most >= 0 && len(p.inflight)+len(p.idle)-i > most {
@@ -674,27 +697,30 @@
 // Distance tells how far a zone is from this node.
 func (g *Range) Distance(zone string) int { return g.opt.Distance(zone) }
 
+// Far tells how far the searcher is: 0 in this node's zone, 1 in its region, 2 beyond.
+func (p *Peer) Far() int { return p.far }
+
 // Near tells whether the searcher is in this node's zone.
 func (p *Peer) Near() bool { return p.far == 0 }
 
 // usable tells whether a searcher may be asked now.
-func (g *Range) usable(p *Peer, holders []string, now time.Time) bool {
-	return (holders == nil || contains(holders, p.ID)) && p.fails < g.opt.FailsOut && now.After(p.outUntil)
+func (g *Range) usable(p *Peer, a *Among, now time.Time) bool {
+	return a.has(p) && p.fails < g.opt.FailsOut && now.After(p.outUntil)
 }
 
 // trusted tells whether a searcher in another zone may be asked for, by way of a front there.
-func (g *Range) trusted(p *Peer, holders []string, now time.Time) bool {
-	return g.usable(p, holders, now) && !now.Before(p.told)
+func (g *Range) trusted(p *Peer, a *Among, now time.Time) bool {
+	return g.usable(p, a, now) && !now.Before(p.told)
 }
 
 // Zones lists the zones in which a service has a searcher in good order.
-func (g *Range) Zones(service string, holders []string) []string {
+func (g *Range) Zones(a Among) []string {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []string
-	for _, p := range g.services[service] {
-		if g.trusted(p, holders, now) && !contains(out, p.Zone) {
+	for _, p := range g.services[a.Service] {
+		if g.trusted(p, &a, now) && !contains(out, p.Zone) {
 			out = append(out, p.Zone)
 		}
 	}
@@ -702,12 +728,12 @@
 }
 
 // In gives a searcher of a service in a zone that is in good order, or nil.
-func (g *Range) In(service string, holders []string, zone string) *Peer {
+func (g *Range) In(a Among, zone string) *Peer {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, p := range g.services[service] {
-		if p.Zone == zone && g.trusted(p, holders, now) {
+	for _, p := range g.services[a.Service] {
+		if p.Zone == zone && g.trusted(p, &a, now) {
 			return p
 		}
 	}
--- a/internal/traverse/traverse_test.go
+++ b/internal/traverse/traverse_test.go
@@ -70,14 +70,14 @@
 	}, hutbook.Stamp{Epoch: 1})
 	g.SetTable(tab)
 	target := 100 * time.Millisecond
-	p, start := g.Choose("s", nil, nil, target, false)
+	p, start := g.Choose(Among{Service: "s"}, nil, target, false)
 	if p.ID != "a" {
 		t.Fatalf("the near one is not preferred: %s", p.ID)
 	}
-	if q, _ := g.Choose("s", nil, []*Peer{p}, target, false); q.ID != "b" {
+	if q, _ := g.Choose(Among{Service: "s"}, []*Peer{p}, target, false); q.ID != "b" {
 		t.Fatal("a second try does not go elsewhere")
 	}
-	if q, _ := g.Choose("s", []string{"x"}, nil, target, false); q != nil {
+	if q, _ := g.Choose(Among{Service: "s", Holders: []string{"x"}}, nil, target, false); q != nil {
 		t.Fatal("a searcher without a slot was chosen")
 	}
 	var silent []string
@@ -90,17 +90,17 @@
 	if len(silent) != 1 || silent[0] != "a" {
 		t.Fatalf("silence told: %v", silent)
 	}
-	if q, _ := g.Choose("s", nil, nil, target, false); q.ID != "b" {
+	if q, _ := g.Choose(Among{Service: "s"}, nil, target, false); q.ID != "b" {
 		t.Fatal("a searcher that failed three times is still first")
 	}
 	g.SetLimit("s", 4)
 	g.SetShare(Fronts{All: 4})
-	if q, _ := g.Choose("s", []string{"b"}, nil, target, false); q != nil {
+	if q, _ := g.Choose(Among{Service: "s", Holders: []string{"b"}}, nil, target, false); q != nil {
 		t.Fatal("the connections that others need were taken")
 	}
 	b := g.peers["b"]
 	b.running, b.waiting, b.loadAt = 2, 0, time.Now()
-	if q, _ := g.Choose("s", []string{"b"}, nil, target, true); q != nil {
+	if q, _ := g.Choose(Among{Service: "s", Holders: []string{"b"}}, nil, target, true); q != nil {
 		t.Fatal("a full searcher was chosen as company for a straggler")
 	}
 	// A searcher that shuts new connections gets fewer, and more again later.
@@ -110,10 +110,10 @@
 		b.inflight = append(b.inflight, time.Now())
 	}
 	g.learn(b, &Outcome{Verdict: Unknown, shut: true}, b.inflight[0])
-	if n := g.limit(b, g.track("s"), g.reach("s", g.track("s"), time.Now()), time.Now()); n != 4 || b.fails != 0 {
+	if n := g.limit(b, g.track("s"), g.reach("s", "", g.track("s"), time.Now()), time.Now()); n != 4 || b.fails != 0 {
 		t.Fatalf("room for %d connections, %d failures", n, b.fails)
 	}
-	if n := g.limit(b, g.track("s"), g.reach("s", g.track("s"), time.Now()), time.Now().Add(10*time.Second)); n != 10 {
+	if n := g.limit(b, g.track("s"), g.reach("s", "", g.track("s"), time.Now()), time.Now().Add(10*time.Second)); n != 10 {
 		t.Fatalf("room for %d connections later", n)
 	}
 	var full []string
