--- a/cmd/refuge/main.go
+++ b/cmd/refuge/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -38,7 +39,7 @@
 		Use: "refuge", Short: "A search front over sharded indexes",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(runCmd(), checkCmd(), configCmd(), purgeCmd(), statusCmd(), eventsCmd())
+	root.AddCommand(runCmd(), checkCmd(), configCmd(), purgeCmd(), rolloutCmd(), statusCmd(), eventsCmd())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "refuge:", err)
 		if e, ok := err.(exit); ok {
@@ -100,6 +101,23 @@
 	f.Float64Var(&opt.FarPenalty, "far-penalty", opt.FarPenalty, "part of the target by which a searcher in another zone must be faster")
 	f.Float64Var(&opt.Crowd, "crowd", opt.Crowd, "how many times its slots a searcher may have to do before requests of the highest priority are refused")
 	f.BoolVar(&opt.Saddle, "saddle", opt.Saddle, "gather shards without a searcher in this zone by way of a front in another")
+	r, ch := &opt.Rollout, &opt.Rollout.Chart
+	f.Float64Var(&r.Canary, "rollout-canary", r.Canary, "part of ExposureShare that goes to a new version at first")
+	f.Float64Var(&r.Trial, "rollout-trial", r.Trial, "share of the requests that goes to a new version in its trial under load")
+	f.Float64Var(&r.TrialAt, "rollout-trial-at", r.TrialAt, "part of an order's term after which the trial may begin")
+	f.Float64Var(&r.Keep, "rollout-keep", r.Keep, "part of the exposure that canary and trial may use up")
+	f.Float64Var(&r.Slower, "rollout-slower", r.Slower, "times the old version's latency that a new one may take")
+	f.Float64Var(&r.Worse, "rollout-worse", r.Worse, "share of failures that a new version may have more than the old one")
+	f.IntVar(&r.Subgroup, "chart-subgroup", r.Subgroup, "tries of a new version that are averaged at least")
+	f.BoolVar(&r.Failures, "chart-failures", r.Failures, "chart failures and timeouts of new versions")
+	f.BoolVar(&r.Latency, "chart-latency", r.Latency, "chart the latency of new versions")
+	f.Float64Var(&ch.K, "chart-k", ch.K, "reference value of the charts, in standard errors")
+	f.Float64Var(&ch.Start, "chart-start", ch.Start, "limit of the charts for a run of no subgroups")
+	f.Float64Var(&ch.Rise, "chart-rise", ch.Rise, "what the limit rises by for each subgroup of a run, up to --chart-knot")
+	f.IntVar(&ch.Knot, "chart-knot", ch.Knot, "run length up to which the limit rises")
+	f.Float64Var(&ch.Fall, "chart-fall", ch.Fall, "slope of the limit beyond --chart-knot")
+	f.BoolVar(&ch.HeadStart, "chart-head-start", ch.HeadStart, "begin the sums at half of --chart-start")
+	f.Float64Var(&ch.Shewhart, "chart-shewhart", ch.Shewhart, "also signal at one subgroup so many standard errors out (0: off)")
 	f.BoolVar(&opt.Hearsay, "hearsay", opt.Hearsay, "tell other fronts, by way of huts, which searchers do not answer")
 	return c
 }
@@ -235,6 +253,53 @@
 	return c
 }
 
+func rolloutCmd() *cobra.Command {
+	c := &cobra.Command{Use: "rollout", Short: "Move a service to another version of its searchers, or see how far that is"}
+	var node string
+	var within time.Duration
+	c.PersistentFlags().StringVar(&node, "node", "", "address of any node (host:port of control or of the port between nodes)")
+	c.PersistentFlags().DurationVar(&within, "within", 10*time.Second, "how long to wait")
+	_ = c.MarkPersistentFlagRequired("node")
+	show := func(path string) error {
+		rep, err := callNode(node, "GET", path, nil, nil, within)
+		if err != nil {
+			return err
+		}
+		var out bytes.Buffer
+		if err := json.Indent(&out, rep.Body, "", "  "); err != nil {
+			return exit{exitRemote, err}
+		}
+		fmt.Println(out.String())
+		return nil
+	}
+	var seconds float64
+	start := &cobra.Command{Use: "start SERVICE VERSION", Short: "Order a rollout", Args: cobra.ExactArgs(2), RunE: func(_ *cobra.Command, a []string) error {
+		raw, err := json.Marshal(signpost.RolloutOrder{Service: a[0], TargetVersion: a[1], DurationS: seconds})
+		if err != nil {
+			return exit{exitBad, err}
+		}
+		if _, err := signpost.ParseRollout(raw); err != nil {
+			return exit{exitBad, err}
+		}
+		if _, err := callNode(node, "POST", "/-/rollouts", nil, raw, within); err != nil {
+			return err
+		}
+		fmt.Println("acknowledged")
+		return nil
+	}}
+	start.Flags().Float64Var(&seconds, "seconds", 0, "the term: by then it is completed or rolled back")
+	_ = start.MarkFlagRequired("seconds")
+	c.AddCommand(start,
+		&cobra.Command{Use: "status SERVICE", Short: "Show a service's last rollout", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
+			return show("/-/rollouts/" + a[0])
+		}},
+		&cobra.Command{Use: "list", Short: "Show the last rollout of each service", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			return show("/-/rollouts")
+		}},
+	)
+	return c
+}
+
 func statusCmd() *cobra.Command {
 	var within time.Duration
 	c := &cobra.Command{Use: "status ADDRESS", Short: "Show a node's state (address: host:port between nodes)", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, a []string) error {
--- a/internal/trailhead/cached.go
+++ b/internal/trailhead/cached.go
@@ -161,7 +161,7 @@
 		}
 		left := time.Until(v.times.Hard)
 		if left <= 0 || tries >= 4 {
-			return h.refuse(v, 504, "no answer in time")
+			return h.refuse(v, 503, "no answer in time")
 		}
 		if first {
 			w := Want{Host: v.req.Host, Target: v.req.Target, Service: service, Weight: weight(r.Priority), Left: left, Aim: r.Target, Again: again}
@@ -172,7 +172,7 @@
 		case <-fl.done:
 			t.Stop()
 		case <-t.C:
-			return h.refuse(v, 504, "no answer in time")
+			return h.refuse(v, 503, "no answer in time")
 		case <-h.ending:
 			t.Stop()
 			return h.refuse(v, 503, "this node leaves")
@@ -201,7 +201,12 @@
 			// Whoever asked had less time than this one.
 			continue
 		}
-		return h.refuse(v, max(got.Status, 502), "the object could not be fetched")
+		status := max(got.Status, 502)
+		if status == 504 {
+			// As far as is known it was never offered to a searcher.
+			status = 503
+		}
+		return h.refuse(v, status, "the object could not be fetched")
 	}
 }
 
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -263,7 +263,8 @@
 		limit = time.Duration(d * float64(time.Millisecond))
 	}
 	if limit < time.Millisecond {
-		return h.refuse(v, 504, "no time left")
+		// Never offered to a searcher: 503 says so, 504 would not.
+		return h.refuse(v, 503, "no time left")
 	}
 	soft := time.Duration(float64(v.route.Target) * h.opt.Soft)
 	if v.spent = h.since(v); v.spent < soft {
