--- a/internal/cairn/rollout.go
+++ b/internal/cairn/rollout.go
@@ -34,6 +34,10 @@
 	SpentMs int64 `json:",omitempty"`
 	// ForMs is how long a trial lasts on each node.
 	ForMs int64 `json:",omitempty"`
+	// Asked is how many tries of the new version were seen by then, Of how
+	// many of both versions.
+	Asked int64 `json:",omitempty"`
+	Of    int64 `json:",omitempty"`
 	// Why tells what led to the phase.
 	Why string `json:",omitempty"`
 }
@@ -107,6 +111,7 @@
 		old = v
 	case v.N != 0 && known && old.N == v.N && old.Running() && phaseOrder[v.Phase] > phaseOrder[old.Phase]:
 		old.Phase, old.SpentMs, old.ForMs, old.Why = v.Phase, max(old.SpentMs, v.SpentMs), v.ForMs, v.Why
+		old.Asked, old.Of = max(old.Asked, v.Asked), max(old.Of, v.Of)
 	default:
 		return
 	}
--- a/internal/lodge/rollout.go
+++ b/internal/lodge/rollout.go
@@ -78,7 +78,7 @@
 		if r.Phase == cairn.Canary {
 			logbook.Log(logbook.RolloutOrdered, "service", r.Service, "from", r.From, "to", r.Target, "term", time.Duration(r.DurationMs)*time.Millisecond, "order", r.N)
 		} else {
-			logbook.Log(logbook.RolloutPhase, "service", r.Service, "to", r.Target, "phase", r.Phase, "spent", time.Duration(r.SpentMs)*time.Millisecond, "why", r.Why, "order", r.N)
+			logbook.Log(logbook.RolloutPhase, "service", r.Service, "to", r.Target, "phase", r.Phase, "spent", time.Duration(r.SpentMs)*time.Millisecond, "asked", r.Asked, "of", r.Of, "why", r.Why, "order", r.N)
 		}
 	}
 }
@@ -220,7 +220,7 @@
 		}
 		f.Ready, f.Old = h.capacity(r)
 		if s := belay.Decide(f, h.n.options.Rollout, h.n.exposure()); s.Phase != "" {
-			steps = append(steps, cairn.Rollout{N: r.N, Service: r.Service, Target: r.Target, Phase: s.Phase, SpentMs: f.Spent.Milliseconds(), ForMs: s.For.Milliseconds(), Why: s.Why})
+			steps = append(steps, cairn.Rollout{N: r.N, Service: r.Service, Target: r.Target, Phase: s.Phase, SpentMs: f.Spent.Milliseconds(), ForMs: s.For.Milliseconds(), Asked: j.New, Of: j.New + j.Old, Why: s.Why})
 		}
 	}
 	return steps, nil, ""
@@ -279,7 +279,10 @@
 	DurationS     float64
 	// LeftS is how much of the term is left, where the order runs.
 	LeftS float64 `json:",omitempty"`
-	Why   string  `json:",omitempty"`
+	// Asked of all tries Of that were seen went to the new version.
+	Asked int64  `json:",omitempty"`
+	Of    int64  `json:",omitempty"`
+	Why   string `json:",omitempty"`
 }
 
 // handleRollout takes the operator's calls.
@@ -384,7 +387,7 @@
 	out := []rolloutSay{}
 	h.desk.ask(func() {
 		for _, r := range slices.Backward(s.Rollouts) {
-			x := rolloutSay{Service: r.Service, State: r.State(), TargetVersion: r.Target, FromVersion: r.From, Phase: r.Phase, DurationS: float64(r.DurationMs) / 1000, Why: r.Why}
+			x := rolloutSay{Service: r.Service, State: r.State(), TargetVersion: r.Target, FromVersion: r.From, Phase: r.Phase, DurationS: float64(r.DurationMs) / 1000, Asked: r.Asked, Of: r.Of, Why: r.Why}
 			if r.Running() {
 				x.LeftS = max(0, x.DurationS-h.course.clock.Spent(r.N, h.n.steady()).Seconds())
 			}
