--- a/examples/hollow/main.go
+++ b/examples/hollow/main.go
@@ -126,12 +126,14 @@
 	}
 	version := put(*node, 0, *shards)
 	var mem runtime.MemStats
-	begun := time.Now()
-	h, err := lodge.StartHollow(s, *fronts, lodge.DefaultOptions())
-	if err != nil {
-		log.Fatal(err)
-	}
-	wait("all fronts ready", begun, func() bool { ready, _ := h.Ready(0, hutbook.Stamp{}); return ready == *fronts })
+	var h *lodge.Hollow
+	measure("joining", huts, time.Second, func() {
+		begun := time.Now()
+		if h, err = lodge.StartHollow(s, *fronts, lodge.DefaultOptions()); err != nil {
+			log.Fatal(err)
+		}
+		wait("all fronts ready", begun, func() bool { ready, _ := h.Ready(0, hutbook.Stamp{}); return ready == *fronts })
+	})
 	runtime.ReadMemStats(&mem)
 	fmt.Printf("a front: %.2f MB of this process's heap\n", float64(mem.HeapInuse)/(1<<20)/float64(*fronts))
 	measure("calm", huts, *span, func() {})
@@ -182,7 +184,8 @@
 		if i == 0 {
 			name = "all fronts"
 		}
-		fmt.Printf("%s, %s: %.4f cores, %.1f KB/s written, %.1f MB (peak %.1f)\n", what, name, (u.cpu-before[i].cpu)/took, (u.out-before[i].out)/1024/took, u.rss, u.peak)
+		fmt.Printf("%s, %s: %.4f cores, %.1f KB/s (%.0f KB) written, %.1f MB (peak %.1f)\n", what, name,
+			(u.cpu-before[i].cpu)/took, (u.out-before[i].out)/1024/took, (u.out-before[i].out)/1024, u.rss, u.peak)
 	}
 }
 
--- a/internal/lodge/trail.go
+++ b/internal/lodge/trail.go
@@ -71,7 +71,7 @@
 
 // DefaultOptions are the defaults.
 func DefaultOptions() Options {
-	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 6, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.89, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 0.3, Crowd: 2, Saddle: true, Hearsay: true, Rollout: belay.Defaults()}
+	return Options{Shelf: 0.1, LarderShelf: 0.35, Slots: 6, SwitchWait: 0.4, LeaseBeats: 2, HedgeAt: 0.5, Soft: 0.89, Late: 0.35, BudgetKeep: 0.85, FarPenalty: 1, Crowd: 2, Saddle: true, Hearsay: true, Rollout: belay.Defaults()}
 }
 
 // Check tells which option is out of its range, and what is allowed.
