--- a/internal/lodge/rollout_test.go
+++ b/internal/lodge/rollout_test.go
@@ -156,6 +156,74 @@
 	w.eventually("the right end", func() bool { _, r := w.rollout(2); return r.State == "completed" })
 }
 
+// The holder of the duty goes once the charts have spoken and before the log
+// has decided: whoever takes the duty over finds the same and decides it.
+func TestHolderGoesBetweenAlarmAndDecision(t *testing.T) {
+	w, _ := start(t)
+	w.traffic()
+	for _, id := range []string{"plain-c-new", "plain-d-new"} {
+		w.searcher("plain", id).set("500")
+	}
+	holder := w.nodes["1"].hut
+	holder.proposing.Lock() // it can't propose
+	defer holder.proposing.Unlock()
+	if status, body := w.roll(3, "v2", 40); status != 200 {
+		t.Fatalf("order: %d %s", status, body)
+	}
+	w.eventually("the holder's charts speak", func() (bad bool) {
+		holder.desk.ask(func() {
+			for _, j := range holder.course.judges {
+				bad = bad || j.Bad() != ""
+			}
+		})
+		return bad
+	})
+	if _, r := w.rollout(2); r.State != "running" {
+		t.Fatalf("decided already: %+v", r)
+	}
+	w.stop("1")
+	w.eventually("the successor rolls it back", func() bool { _, r := w.rollout(2); return r.State == "rolled_back" })
+}
+
+// A front that starts in the middle of an order knows it before it is ready,
+// and keeps to its share.
+func TestFrontStartsMidRollout(t *testing.T) {
+	w, _ := start(t)
+	news := []*searcher{w.searcher("plain", "plain-c-new"), w.searcher("plain", "plain-d-new")}
+	if status, body := w.roll(3, "v2", 400); status != 200 {
+		t.Fatalf("order: %d %s", status, body)
+	}
+	w.stop("11")
+	again := w.run(11, false, 1, 2, 3)
+	w.eventually("it serves", func() bool { return again.trail.ready.Load() && again.trail.ln.Load() != nil })
+	l := again.trail.head.Current().Lanes["plain"]
+	if l == nil || l.From != "v1" || l.Target != "v2" || l.Phase != "canary" {
+		t.Fatalf("ready without the order: %+v", l)
+	}
+	const n = 300
+	for range n {
+		if r, _, _ := w.ask(11, "GET", "/p/x", ""); r.StatusCode != 200 {
+			t.Fatalf("%d", r.StatusCode)
+		}
+	}
+	// 0.15 of them are its share; five times the spread beyond it is no chance.
+	if got := news[0].ran() + news[1].ran(); got == 0 || got > n*15/100+31 {
+		t.Errorf("%d of %d requests went to the new version", got, n)
+	}
+	// Cut off from all huts it goes back to the old version by itself.
+	for _, h := range []string{"1", "2", "3"} {
+		w.stop(h)
+	}
+	time.Sleep(again.deaf() + 400*time.Millisecond)
+	before := news[0].ran() + news[1].ran()
+	for range 100 {
+		w.ask(11, "GET", "/p/x", "")
+	}
+	if got := news[0].ran() + news[1].ran() - before; got > 0 {
+		t.Errorf("%d requests went to the new version without a majority", got)
+	}
+}
+
 func TestOrdersRaceAndBadOnes(t *testing.T) {
 	w, _ := start(t)
 	for body, want := range map[string]string{
