--- /dev/null
+++ b/internal/gather/legs_test.go
@@ -0,0 +1,111 @@
+package gather
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"swiftswitch/internal/hutbook"
+	"swiftswitch/internal/rations"
+	"swiftswitch/internal/traverse"
+)
+
+// BenchmarkLegs gathers from more and more shards on loopback. Its searchers
+// run in this process: what it tells of the processor is an upper bound for a front.
+func BenchmarkLegs(b *testing.B) {
+	for _, n := range []int{30, 120, 480, 1200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchLegs(b, n) })
+	}
+}
+
+func benchLegs(b *testing.B, n int) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answer(c)
+		}
+	}()
+	pool, _ := ants.NewPool(4096, ants.WithNonblocking(true))
+	defer pool.Release()
+	rng := traverse.New(traverse.Options{
+		Distance: func(string) int { return 0 }, UserTimeout: time.Second, DialWithin: time.Second, MaxBody: 1 << 20,
+		KeepIdle: time.Minute, FailsOut: 3, OutFor: time.Second, Many: 5, Forget: time.Second,
+	})
+	t := &hutbook.Table{}
+	for i := range n {
+		t.Searchers = append(t.Searchers, hutbook.Searcher{ID: fmt.Sprint("i", i), Service: fmt.Sprint("s", i), Addr: ln.Addr().String(), Slots: 2, Entry: int64(i)})
+	}
+	rng.SetTable(t)
+	born := time.Now()
+	g := &Guide{Range: rng, Ledger: rations.New(rations.Rules{Ratio: 1, Window: time.Second}, 0), Pool: pool, Steady: func() time.Duration { return time.Since(born) }, HedgeAt: 5}
+	run := func(k int) {
+		var legs []*Leg
+		for i := range n {
+			legs = append(legs, &Leg{Service: fmt.Sprint("s", i)})
+		}
+		req, err := traverse.NewRequest("GET", "/x", []byte(fmt.Sprintf("Host: a\r\nSwiftswitch-Request-Id: r%d\r\n", k)), nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		now := time.Now()
+		p := NewParty(Terms{Attempts: 1, Safe: true, Need: 1}, legs)
+		if !g.Run(p, req, Times{Start: now, Target: time.Second, Soft: now.Add(9 * time.Second), Hard: now.Add(10 * time.Second), Until: now.Add(10 * time.Second)}, nil) {
+			b.Fatalf("%d of %d parts are in", p.Good(), n)
+		}
+		var bodies [][]byte
+		for _, l := range p.Legs {
+			bodies = append(bodies, l.Good.Records())
+		}
+		Merge(bodies, 20)
+		p.Release()
+	}
+	run(-1) // opens the connections
+	b.ResetTimer()
+	var before, after syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	for k := range b.N {
+		run(k)
+	}
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+	cpu := time.Duration(after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano())
+	b.ReportMetric(float64(cpu.Microseconds())/float64(b.N)/float64(n), "us-cpu/leg")
+}
+
+// answer serves one connection with a part of 20 records for each request.
+func answer(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	body := strings.Repeat("0123456789abcdef", 20)
+	for k := 0; ; k++ {
+		id := ""
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if line == "\r\n" {
+				break
+			}
+			if v, ok := strings.CutPrefix(line, "Swiftswitch-Expected-Instance: "); ok {
+				id = strings.TrimSpace(v)
+			}
+		}
+		if _, err := io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nSwiftswitch-Server-Stamp: %s.%d\r\nContent-Length: %d\r\n\r\n%s", id, k, len(body), body)); err != nil {
+			return
+		}
+	}
+}
