--- a/internal/belay/belay_test.go
+++ b/internal/belay/belay_test.go
@@ -18,6 +18,8 @@
 	bad func(at time.Duration, who int, route string) (fails, slower float64)
 	// world is what both versions suffer.
 	world func(at time.Duration) (fails, slower float64)
+	// strain is how much longer the new version takes while most requests go to it.
+	strain float64
 }
 
 // run plays a term of 16 s and gives the verdict, when it came, and how many
@@ -48,6 +50,9 @@
 			}
 			if isNew {
 				asked++
+				if p.strain > 0 && (now < lane.TrialUntil || r.Phase == cairn.Promote) {
+					slower *= p.strain
+				}
 				if p.bad != nil {
 					f, s := p.bad(now, who, route)
 					fails, slower = max(fails, f), slower*s
@@ -65,6 +70,7 @@
 			}
 			seen = append(seen, c)
 		}
+		j.Loaded = r.Phase != cairn.Canary
 		j.Add(seen)
 		j.Step(now)
 		s := Decide(Facts{Rollout: r, Spent: now, Since: now - since, Bad: j.Bad(), Rate: j.Rate(now), New: j.New, Good: j.Good, Ready: 8, Old: 8, Report: 700 * time.Millisecond, Settle: 2 * time.Second}, o, e)
@@ -113,6 +119,7 @@
 		wrong int
 	}{
 		"good":                          {play{rate: 133}, cairn.Completed, 2},
+		"good, slower while it fills":   {play{rate: 133, strain: 1.9}, cairn.Completed, 2},
 		"good, little traffic":          {play{rate: 8}, cairn.Completed, 2},
 		"good, both versions slow":      {play{rate: 133, world: trouble(0.01, 6)}, cairn.Completed, 2},
 		"good, both lose answers":       {play{rate: 133, world: trouble(0.05, 1)}, cairn.Completed, 2},
@@ -121,6 +128,7 @@
 		"bad by errors":                 {play{rate: 133, bad: always(0.5, 1)}, cairn.RolledBack, 0},
 		"bad by errors, little traffic": {play{rate: 12, bad: always(0.5, 1)}, cairn.RolledBack, 2},
 		"bad by slowness":               {play{rate: 133, bad: half(rand.New(rand.NewPCG(3, 3)))}, cairn.RolledBack, 0},
+		"bad by slowness under load":    {play{rate: 133, strain: 5}, cairn.RolledBack, 2},
 		"bad late": {play{rate: 133, bad: func(at time.Duration, _ int, _ string) (float64, float64) {
 			if at > 4*time.Second {
 				return 0.5, 1
--- a/internal/belay/lane.go
+++ b/internal/belay/lane.go
@@ -56,6 +56,11 @@
 	return Way{Then: l.From}
 }
 
+// Settled tells that the way rests on no clock and no coin.
+func (l *Lane) Settled() bool {
+	return l.Phase == "" || l.Phase == cairn.Completed || l.Phase == cairn.RolledBack
+}
+
 // Versions lists those that may hold slots, the one in force first.
 func (l *Lane) Versions() []string {
 	switch {
--- a/internal/lodge/canary.go
+++ b/internal/lodge/canary.go
@@ -252,6 +252,7 @@
 			j = belay.NewJudge(t.opt.Rollout, w.term, now)
 			t.scout.judges[w.order] = j
 		}
+		j.Loaded = t.scout.orders[service].Phase != cairn.Canary
 		j.Add(byOrder[w.order])
 		j.Step(now)
 		if j.Bad() != "" && !t.scout.halted[w.order] {
--- a/internal/lodge/node.go
+++ b/internal/lodge/node.go
@@ -234,14 +234,16 @@
 	if v := string(c.Request.Header.Peek("If-Match")); v != "" {
 		hd["If-Match"] = v
 	}
-	none := false
+	var none []byte
 	for _, ip := range n.huts() {
 		if ip == n.set().IpAddress {
 			continue
 		}
 		rep, err := n.call.Call(n.set().RopeAddr(ip), string(c.Request.Header.Method()), path, hd, c.Request.Body(), signpost.Ms(n.set().Bounds.AcknowledgeMs, 0.8))
 		if err != nil || rep.Status == 503 || rep.Status == 404 {
-			none = none || err == nil && rep.Status == 404
+			if err == nil && rep.Status == 404 {
+				none = rep.Body
+			}
 			continue
 		}
 		c.SetStatusCode(rep.Status)
@@ -249,8 +251,10 @@
 		c.Response.SetBodyRaw(rep.Body)
 		return
 	}
-	if none {
-		rope.Answer(c, 404, map[string]string{"Error": "there is none"})
+	if none != nil {
+		c.SetStatusCode(404)
+		c.Response.Header.SetContentType("application/json")
+		c.Response.SetBodyRaw(none)
 		return
 	}
 	rope.Answer(c, 503, map[string]string{"Error": "no node that keeps state can be reached"})
--- a/internal/lodge/rollout.go
+++ b/internal/lodge/rollout.go
@@ -202,6 +202,7 @@
 	lag := h.lagging()
 	for _, r := range running {
 		j := h.judge(r)
+		j.Loaded = r.Phase != cairn.Canary
 		for _, a := range j.Step(now) {
 			if a.Bad {
 				logbook.Log(logbook.ChartSignal, "service", r.Service, "version", r.Target, "metric", a.Metric, "route", a.Route)
--- a/internal/trailhead/trailhead.go
+++ b/internal/trailhead/trailhead.go
@@ -62,6 +62,9 @@
 	if l == nil {
 		return belay.Way{}
 	}
+	if l.Settled() {
+		return l.Way(0, 0, 0, 0)
+	}
 	now, heard := h.opt.Clock()
 	return l.Way(now, heard, h.opt.Deaf, rand.Float64())
 }
