--- a/internal/trailhead/write_test.go
+++ b/internal/trailhead/write_test.go
@@ -24,21 +24,43 @@
 
 // An answer is not cut off while its client still waits for it, nor kept for long after.
 func TestWriteAsLongAsTheClientWaits(t *testing.T) {
-	conf := &signpost.Configuration{Version: 1, Services: []*signpost.Service{{Name: "s"}}, Routes: []*signpost.Route{
-		{Name: "r", HostName: "a.example", PathPrefix: "/", RouteKind: "safe", TimeoutMs: 6000, Service: "s", Attempts: 1}}}
-	guide := &gather.Guide{Range: traverse.New(traverse.Options{Many: 5, Forget: time.Second}), Ledger: rations.New(rations.Rules{Window: time.Second}, 0), Steady: func() time.Duration { return 0 }}
-	h := New(Options{Soft: 0.9, Hard: 0.97, WriteWithin: 2 * time.Second, Crowd: 2}, guide)
-	h.Set(&Snapshot{Map: fork.Compile(conf, fork.Limits{Header: 1 << 14, Body: 1 << 14})})
+	h := idleHead()
 	for deadline, want := range map[string]time.Duration{"4000": 4 * time.Second, "60000": 6 * time.Second, "500": 2 * time.Second} {
-		conn := &timedConn{}
-		c := app.NewContext(0)
-		c.SetConn(conn)
-		c.Request.SetRequestURI("/x")
-		c.Request.Header.SetProtocol("HTTP/1.1")
-		c.Request.Header.SetRawHeaders([]byte("Host: a.example\r\nSwiftswitch-Request-Id: r1\r\nSwiftswitch-Deadline-Milliseconds: " + deadline + "\r\n"))
-		h.Handle(context.Background(), c)
+		c, conn := handle(h, deadline)
 		if c.Response.StatusCode() != 503 || conn.within < want-200*time.Millisecond || conn.within > want {
 			t.Errorf("client waits %s ms: status %d, %v to write, want %v", deadline, c.Response.StatusCode(), conn.within, want)
 		}
 	}
 }
+
+// What was read and never offered to a searcher ends with 503, which says so,
+// and with the time to come back.
+func TestNeverOffered(t *testing.T) {
+	for _, deadline := range []string{"0", "0.5", "400"} {
+		c, _ := handle(idleHead(), deadline)
+		if c.Response.StatusCode() != 503 || len(c.Response.Header.Peek("Retry-After")) == 0 {
+			t.Errorf("client waits %s ms: %d %q", deadline, c.Response.StatusCode(), c.Response.Header.Peek("Retry-After"))
+		}
+	}
+}
+
+// idleHead has a route and no searchers.
+func idleHead() *Head {
+	conf := &signpost.Configuration{Version: 1, Services: []*signpost.Service{{Name: "s"}}, Routes: []*signpost.Route{
+		{Name: "r", HostName: "a.example", PathPrefix: "/", RouteKind: "safe", TimeoutMs: 6000, Service: "s", Attempts: 1}}}
+	guide := &gather.Guide{Range: traverse.New(traverse.Options{Many: 5, Forget: time.Second}), Ledger: rations.New(rations.Rules{Window: time.Second}, 0), Steady: func() time.Duration { return 0 }}
+	h := New(Options{Soft: 0.9, Hard: 0.97, WriteWithin: 2 * time.Second, Crowd: 2}, guide)
+	h.Set(&Snapshot{Map: fork.Compile(conf, fork.Limits{Header: 1 << 14, Body: 1 << 14})})
+	return h
+}
+
+func handle(h *Head, deadline string) (*app.RequestContext, *timedConn) {
+	conn := &timedConn{}
+	c := app.NewContext(0)
+	c.SetConn(conn)
+	c.Request.SetRequestURI("/x")
+	c.Request.Header.SetProtocol("HTTP/1.1")
+	c.Request.Header.SetRawHeaders([]byte("Host: a.example\r\nSwiftswitch-Request-Id: r1\r\nSwiftswitch-Deadline-Milliseconds: " + deadline + "\r\n"))
+	h.Handle(context.Background(), c)
+	return c, conn
+}
