--- a/internal/lodge/rollout_test.go
+++ b/internal/lodge/rollout_test.go
@@ -312,3 +312,33 @@
 	node := w.run(5, false, 1, 2, 3)
 	w.eventually("the fifth votes", func() bool { s := node.hut.state(); return s.Votes(node.hut.acc.ID) })
 }
+
+// Without a majority nothing is decided and the new version is left alone;
+// when it is back the order goes on to the right end.
+func TestCoreCutMidRollout(t *testing.T) {
+	w, _ := start(t)
+	failed := w.traffic()
+	news := []*searcher{w.searcher("plain", "plain-c-new"), w.searcher("plain", "plain-d-new")}
+	asked := func() int { return news[0].ran() + news[1].ran() }
+	if status, body := w.roll(3, "v2", 60); status != 200 {
+		t.Fatalf("order: %d %s", status, body)
+	}
+	w.eventually("the new version is asked", func() bool { return asked() > 0 })
+	w.stop("2")
+	w.stop("3")
+	time.Sleep(w.nodes["11"].deaf() + 600*time.Millisecond)
+	before := asked()
+	time.Sleep(500 * time.Millisecond)
+	if now := asked(); now != before {
+		t.Errorf("the new version is asked without a majority: %d, %d", before, now)
+	}
+	if status, r := w.rollout(1); status == 200 {
+		t.Errorf("one hut of three answers for the order: %+v", r)
+	}
+	w.run(2, false, 1, 2, 3)
+	w.run(3, false, 1, 2, 3)
+	w.eventually("the right end", func() bool { _, r := w.rollout(2); return r.State == "completed" })
+	if n := failed(); n > 0 {
+		t.Errorf("%d requests failed", n)
+	}
+}
