--- a/internal/lodge/many_test.go
+++ b/internal/lodge/many_test.go
@@ -62,6 +62,8 @@
 	if err := w.nodes["1"].call.Ask(to, pathWatch, ask, &say, 2*time.Second); err != nil || len(say.Dark) != 1 || say.Dark[0] != tables[0].Searchers[0].Entry {
 		t.Errorf("told of silent searchers: %v, %v", say.Dark, err)
 	}
+	// A count serves all who ask within a tenth of a heartbeat; then it must be exact.
+	time.Sleep(hut.n.heartbeat(0.1))
 	hut.desk.ask(func() {
 		if n := len(hut.deltas); n != 1 {
 			t.Errorf("the table was packed in %d ways", n)
