--- a/internal/cachenode/fetch.go
+++ b/internal/cachenode/fetch.go
@@ -1,6 +1,7 @@
 package cachenode
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -44,7 +45,7 @@
 		return
 	}
 	timeLeft := fetch.StartedAt + timeout - f.host.Now()
-	attempt := f.endpoints.Do(endpoint, request, start, time.Now().Add(timeLeft))
+	attempt := f.endpoints.Do(context.Background(), endpoint, request, start, time.Now().Add(timeLeft))
 	defer attempt.Release()
 	f.onAttempt(fetch, held, &attempt)
 }
--- a/internal/front/internal_api.go
+++ b/internal/front/internal_api.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -13,10 +14,10 @@
 
 // HandleInternal takes a call of another node and reports whether it was one for
 // a front or a cache node.
-func (s *Server) HandleInternal(c *app.RequestContext) bool {
+func (s *Server) HandleInternal(ctx context.Context, c *app.RequestContext) bool {
 	switch string(c.Request.URI().PathOriginal()) {
 	case nodeapi.PathRelay:
-		s.handleRelay(c)
+		s.handleRelay(ctx, c)
 	case nodeapi.PathCacheFetch:
 		if !s.isCacheNode {
 			return false
@@ -30,12 +31,12 @@
 
 // handleRelay gathers some shards of a scattered request for a front in another
 // zone.
-func (s *Server) handleRelay(c *app.RequestContext) {
+func (s *Server) handleRelay(ctx context.Context, c *app.RequestContext) {
 	var request relay.Request
 	if !transport.ReadJSON(c, &request) {
 		return
 	}
-	if response, ok := s.frontend.HandleRelay(request); ok {
+	if response, ok := s.frontend.HandleRelay(transport.CallerFrom(ctx), request); ok {
 		transport.WriteJSON(c, http.StatusOK, response)
 		return
 	}
@@ -43,9 +44,9 @@
 }
 
 // callRelay asks a front in another zone to relay.
-func (s *Server) callRelay(ip string, request relay.Request, response *relay.Response, timeout time.Duration) error {
-	err := s.host.Client.CallJSON(s.host.Settings().InternalAddress(ip), nodeapi.PathRelay, request, response, timeout)
-	if err != nil {
+func (s *Server) callRelay(ctx context.Context, ip string, request relay.Request, response *relay.Response, timeout time.Duration) error {
+	err := s.host.Client.CallJSONContext(ctx, s.host.Settings().InternalAddress(ip), nodeapi.PathRelay, request, response, timeout)
+	if err != nil && ctx.Err() == nil {
 		// The next poll asks for fronts that may do better.
 		s.watcher.rosterReceivedAt.Store(0)
 	}
--- a/internal/frontend/cached_route.go
+++ b/internal/frontend/cached_route.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"swiftswitch/internal/cache"
+	"swiftswitch/internal/transport"
 )
 
 const (
@@ -30,14 +31,18 @@
 			return false
 		}
 		left := time.Until(e.deadlines.HardDeadline)
-		if left <= 0 || n >= maxFetches {
+		if left <= 0 || n >= maxFetches || isFirst && e.caller.Left() {
+			if isFirst {
+				// Others may have joined already; they look for the object again.
+				h.cache.finish(key, fetch, FetchResult{Status: http.StatusGatewayTimeout}, 0)
+			}
 			return h.reject(e, rejectFetchTimedOut)
 		}
 		if isFirst {
 			request := fetchRequest(e, service, left)
 			go func() { h.cache.finish(key, fetch, h.cache.fetcher.Fetch(request), route.CacheLifetime) }()
 		}
-		if reason, ok := h.awaitFetch(fetch, left); !ok {
+		if reason, ok := h.awaitFetch(e.caller, fetch, left); !ok {
 			return h.reject(e, reason)
 		}
 		if h.writeFetchResult(e, &fetch.result, isFirst) {
@@ -59,8 +64,11 @@
 }
 
 // awaitFetch waits for a fetch to end; ok is false if the request must be
-// rejected before.
-func (h *Handler) awaitFetch(fetch *sharedFetch, left time.Duration) (reason rejection, ok bool) {
+// rejected before. The fetch of a client that leaves goes on for the others who
+// wait for it, and for the cache.
+func (h *Handler) awaitFetch(caller *transport.Caller, fetch *sharedFetch, left time.Duration) (reason rejection, ok bool) {
+	caller.Watch()
+	defer caller.Unwatch()
 	timer := time.NewTimer(left)
 	defer timer.Stop()
 	select {
@@ -68,6 +76,8 @@
 		return 0, true
 	case <-timer.C:
 		return rejectFetchTimedOut, false
+	case <-caller.Context().Done():
+		return rejectFetchUnavailable, false
 	case <-h.cancelWaiting:
 		return rejectDraining, false
 	}
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -26,7 +26,9 @@
 	}
 	query := scatter.NewQuery(policy, shards)
 	defer query.Release()
-	succeeded := h.gatherer.Gather(query, e.request, e.deadlines, h.relayFor(e))
+	e.caller.Watch()
+	defer e.caller.Unwatch()
+	succeeded := h.gatherer.Gather(e.caller, query, e.request, e.deadlines, h.relayFor(e))
 	h.writeResult(e, query, succeeded)
 	return false
 }
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -10,6 +10,7 @@
 	"swiftswitch/internal/relay"
 	"swiftswitch/internal/routing"
 	"swiftswitch/internal/scatter"
+	"swiftswitch/internal/transport"
 	"swiftswitch/internal/upstream"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -112,7 +113,9 @@
 // exchange is a request and its response on their way through the filters. The
 // goroutine of its connection owns it.
 type exchange struct {
-	ctx       *app.RequestContext
+	ctx *app.RequestContext
+	// caller is the client, as far as its connection shows.
+	caller    *transport.Caller
 	start     time.Time
 	snapshot  *Snapshot
 	request   *upstream.Request
@@ -125,10 +128,10 @@
 }
 
 // Handle handles one request of the clients' listener.
-func (h *Handler) Handle(_ context.Context, c *app.RequestContext) {
+func (h *Handler) Handle(ctx context.Context, c *app.RequestContext) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	e := &exchange{ctx: c, start: time.Now()}
+	e := &exchange{ctx: c, caller: transport.CallerFrom(ctx), start: time.Now()}
 	for _, apply := range h.filters {
 		if !apply(e) {
 			break
@@ -139,7 +142,7 @@
 
 // finish sets what ends the exchange on its connection.
 func (h *Handler) finish(e *exchange) {
-	if e.closeConnection || h.draining.Load() {
+	if e.closeConnection || h.draining.Load() || e.caller.Context().Err() != nil {
 		e.ctx.SetConnectionClose()
 	} else if e.snapshot != nil {
 		// A client that stops using the connection a second earlier sends no
--- a/internal/frontend/relay.go
+++ b/internal/frontend/relay.go
@@ -1,16 +1,19 @@
 package frontend
 
 import (
+	"context"
 	"time"
 
 	"swiftswitch/internal/relay"
 	"swiftswitch/internal/routing"
 	"swiftswitch/internal/scatter"
+	"swiftswitch/internal/transport"
 	"swiftswitch/internal/upstream"
 )
 
-// RelayCaller sends a relay request to the front with an IP.
-type RelayCaller func(ip string, request relay.Request, response *relay.Response, timeout time.Duration) error
+// RelayCaller sends a relay request to the front with an IP. The call ends, and
+// with it the work of that front, once ctx is canceled.
+type RelayCaller func(ctx context.Context, ip string, request relay.Request, response *relay.Response, timeout time.Duration) error
 
 const (
 	// minRelayedShards is the least number of shards of a route whose requests
@@ -18,6 +21,10 @@
 	minRelayedShards = 2
 	// relayTimeoutFactor, a multiple of the wait asked for, bounds a relay call.
 	relayTimeoutFactor = 3
+	// relayedAttemptGrace is how much longer than the asking front the endpoints
+	// of a relayed request have: less than searchers may stay at work for a
+	// client that has left.
+	relayedAttemptGrace = 400 * time.Millisecond
 )
 
 // SetRelays lets scattered requests be relayed by fronts of other zones.
@@ -48,7 +55,7 @@
 	// The call may outlive the exchange: it must not refer to it.
 	h, request := r.handler, r.exchange.request
 	version, deadline := r.exchange.snapshot.RouteTable.Version, r.exchange.deadlines.ShardDeadline
-	return func(shards []int, wait time.Duration) (stamps []string, records []byte) {
+	return func(ctx context.Context, shards []int, wait time.Duration) (stamps []string, records []byte) {
 		left := time.Until(deadline)
 		message := relay.Request{
 			Version:     version,
@@ -58,8 +65,9 @@
 			WaitMs:      wait.Milliseconds(),
 		}
 		var response relay.Response
-		err := h.callRelay(front.IP, message, &response, min(left, relayTimeoutFactor*wait))
-		h.relays.Done(front.IP, err == nil, time.Now())
+		err := h.callRelay(ctx, front.IP, message, &response, min(left, relayTimeoutFactor*wait))
+		// That the call was canceled says nothing about the front.
+		h.relays.Done(front.IP, err == nil || ctx.Err() != nil, time.Now())
 		if err != nil || len(response.Stamps) != len(shards) || len(response.Records)%scatter.RecordSize != 0 {
 			return make([]string, len(shards)), nil
 		}
@@ -69,8 +77,9 @@
 
 // HandleRelay gathers some shards for a front in another zone. It makes one
 // attempt at each and returns the answers that came within the wait; ok is
-// false if this node does not hold the same version of the configuration.
-func (h *Handler) HandleRelay(message relay.Request) (response relay.Response, ok bool) {
+// false if this node does not hold the same version of the configuration. The
+// asking front leaves when its own client does.
+func (h *Handler) HandleRelay(caller *transport.Caller, message relay.Request) (response relay.Response, ok bool) {
 	start := time.Now()
 	snapshot := h.snapshot.Load()
 	if snapshot == nil || h.draining.Load() || snapshot.RouteTable.Version != message.Version || message.RemainingMs <= 0 || len(message.Shards) == 0 {
@@ -94,7 +103,9 @@
 	h.relayed.Add(1)
 	query := scatter.NewQuery(scatter.Policy{MaxAttempts: 1, Idempotent: true, Relayed: true}, shards)
 	defer query.Release()
-	h.gatherer.Gather(query, request, relayDeadlines(start, route, &message), nil)
+	caller.Watch()
+	defer caller.Unwatch()
+	h.gatherer.Gather(caller, query, request, relayDeadlines(start, route, &message), nil)
 	return relayResponse(query, route.TopRecords), true
 }
 
@@ -111,8 +122,10 @@
 	return shards, true
 }
 
-// relayDeadlines returns deadlines that end the gathering when the asking front needs the answer,
-// which may be before the client's time is over.
+// relayDeadlines returns deadlines that end the gathering when the asking front
+// needs the answer, which may be before the client's time is over. The endpoints
+// get little longer: once the answer is written, nothing tells this node that
+// the client has left.
 func relayDeadlines(start time.Time, route *routing.Route, message *relay.Request) scatter.Deadlines {
 	left := time.Duration(message.RemainingMs) * time.Millisecond
 	wait := min(left, time.Duration(message.WaitMs)*time.Millisecond)
@@ -121,7 +134,7 @@
 		TargetLatency: route.TargetLatency,
 		SoftDeadline:  start.Add(wait),
 		HardDeadline:  start.Add(wait),
-		ShardDeadline: start.Add(left),
+		ShardDeadline: start.Add(min(left, wait+relayedAttemptGrace)),
 	}
 }
 
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -57,7 +57,7 @@
 	case isOperatorPath(path):
 		n.handleOperator(ctx, c)
 	case n.control != nil && n.control.HandleInternal(c):
-	case n.front != nil && n.front.HandleInternal(c):
+	case n.front != nil && n.front.HandleInternal(ctx, c):
 	default:
 		transport.WriteError(c, http.StatusNotFound, "no such call")
 	}
--- a/internal/scatter/bench_test.go
+++ b/internal/scatter/bench_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"swiftswitch/internal/endpoints"
+	"swiftswitch/internal/transport"
 	"swiftswitch/internal/upstream"
 )
 
@@ -65,7 +66,7 @@
 		Start: now, TargetLatency: time.Second, SoftDeadline: now.Add(9 * time.Second),
 		HardDeadline: now.Add(10 * time.Second), ShardDeadline: now.Add(10 * time.Second),
 	}
-	if !g.Gather(q, request, deadlines, nil) {
+	if !g.Gather((*transport.Caller)(nil), q, request, deadlines, nil) {
 		b.Fatalf("%d of %d shards answered", q.Answered(), n)
 	}
 	var bodies [][]byte
--- a/internal/scatter/decision.go
+++ b/internal/scatter/decision.go
@@ -19,7 +19,8 @@
 	Undecided Decision = iota
 	// Succeeded: enough shards answered, and waiting for more does not pay.
 	Succeeded
-	// Failed: fewer shards than the policy wants answered or can answer.
+	// Failed: fewer shards than the policy wants answered or can answer, or
+	// nobody waits for the answer any more.
 	Failed
 )
 
@@ -32,6 +33,8 @@
 // that is below the value of a late complete answer.
 func (q *Query) Decide(phase Phase) Decision {
 	switch {
+	case q.callerLeft && q.policy.Idempotent:
+		return Failed
 	case q.open == 0 || phase == AfterHardDeadline:
 		if q.isEnough(q.answered) {
 			return Succeeded
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"context"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -26,17 +27,35 @@
 	HedgeAfter float64
 }
 
+// Caller is who waits for the response to a query. *transport.Caller implements
+// it, also where it is nil.
+type Caller interface {
+	// Context returns a context that is canceled once the caller was seen to
+	// have left.
+	Context() context.Context
+	// Left looks whether the caller has left.
+	Left() bool
+}
+
 // Gather sends the request to every shard of the query and returns when the
 // query is decided; it reports whether it succeeded. relay may be nil.
 //
-// Attempts that are in flight then run to their end in the background: an
-// endpoint at work is not interrupted. Their responses are released.
-func (g *Gatherer) Gather(q *Query, request *upstream.Request, deadlines Deadlines, relay Relay) (succeeded bool) {
+// Nothing is sent for a caller that has left, and what is under way for it is
+// canceled. Otherwise attempts that are in flight when the query is decided run
+// on in the background: an endpoint at work is not interrupted while its caller
+// is there. Their responses are released.
+func (g *Gatherer) Gather(caller Caller, q *Query, request *upstream.Request, deadlines Deadlines, relay Relay) (succeeded bool) {
+	ctx, cancel := context.WithCancel(context.Background())
 	r := &run{
-		Gatherer: g, request: request, deadlines: deadlines, relay: relay,
+		Gatherer: g, caller: caller, request: request, deadlines: deadlines, relay: relay,
+		ctx: ctx, cancel: cancel,
 		results: make(chan result, len(q.Shards)*q.policy.MaxAttempts),
 	}
-	defer r.releaseLateResults(q)
+	defer r.finish(q)
+	if caller.Left() {
+		q.OnCallerLeft()
+		return false
+	}
 	r.sendFirst(q)
 	return r.await(q)
 }
--- a/internal/scatter/gatherer_test.go
+++ b/internal/scatter/gatherer_test.go
@@ -9,6 +9,7 @@
 	"github.com/panjf2000/ants/v2"
 	"swiftswitch/internal/endpoints"
 	"swiftswitch/internal/ratelimit"
+	"swiftswitch/internal/transport"
 	"swiftswitch/internal/upstream"
 )
 
@@ -81,7 +82,7 @@
 			shard := &ShardRequest{Service: "s", Canary: &upstream.Selector{Service: "s", IDs: []string{"silent"}}}
 			q := NewQuery(Policy{MaxAttempts: 2, Idempotent: true, MinShare: 1}, []*ShardRequest{shard})
 			defer q.Release()
-			if got := g.Gather(q, newRequest(t, "r"), deadlinesFrom(100*time.Millisecond, time.Second), nil); got != test.want {
+			if got := g.Gather((*transport.Caller)(nil), q, newRequest(t, "r"), deadlinesFrom(100*time.Millisecond, time.Second), nil); got != test.want {
 				t.Fatalf("succeeded: %v", got)
 			}
 			if test.want && shard.Answer.Endpoint.ID != "answers" {
@@ -99,7 +100,7 @@
 	g := newGatherer(t, 1)
 	q := NewQuery(Policy{MaxAttempts: 2, Idempotent: true, MinShare: 1}, []*ShardRequest{{Service: "s"}})
 	start := time.Now()
-	if g.Gather(q, newRequest(t, "r"), deadlinesFrom(time.Minute, time.Minute), nil) {
+	if g.Gather((*transport.Caller)(nil), q, newRequest(t, "r"), deadlinesFrom(time.Minute, time.Minute), nil) {
 		t.Fatal("it succeeded")
 	}
 	if q.MayHaveRun() || time.Since(start) > 10*time.Second {
--- a/internal/scatter/query.go
+++ b/internal/scatter/query.go
@@ -16,6 +16,8 @@
 	answered int
 	open     int
 	hedges   hedgeSchedule
+	// callerLeft: nobody waits for the response any more.
+	callerLeft bool
 }
 
 // NewQuery returns a query in which every shard is open.
@@ -66,7 +68,7 @@
 		s.Answer = a
 		return Wait, true
 	}
-	if a.Outcome == upstream.OutcomeAnswered || a.Outcome == upstream.OutcomeUnknown {
+	if a.MayHaveRun() {
 		s.mayHaveRun = true
 	}
 	if a.Response != nil && q.mayForward(&a) {
@@ -101,11 +103,16 @@
 	return true
 }
 
+// OnCallerLeft records that nobody waits for the response any more. No further
+// attempt may be made. If the request is idempotent the query is decided; what
+// is not idempotent is awaited, since its work would not be undone.
+func (q *Query) OnCallerLeft() { q.callerLeft = true }
+
 // MayAttempt reports whether a further attempt of shard i may be made. What is
 // not idempotent is never sent again once it may have run.
 func (q *Query) MayAttempt(i int) bool {
 	s := q.Shards[i]
-	if s.state != shardOpen || len(s.attempted) >= q.policy.MaxAttempts {
+	if q.callerLeft || s.state != shardOpen || len(s.attempted) >= q.policy.MaxAttempts {
 		return false
 	}
 	return q.policy.Idempotent || !s.mayHaveRun && s.inFlight == 0
--- a/internal/scatter/relay.go
+++ b/internal/scatter/relay.go
@@ -1,6 +1,9 @@
 package scatter
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Parts of the latency target.
 const (
@@ -19,9 +22,9 @@
 }
 
 // RelayCall has a front gather some shards of the request, given by their
-// index, within wait. It returns one stamp a shard, empty where the shard
-// did not answer, and the merged records of those that did.
-type RelayCall = func(shards []int, wait time.Duration) (stamps []string, records []byte)
+// index, within wait, until ctx is canceled. It returns one stamp a shard, empty
+// where the shard did not answer, and the merged records of those that did.
+type RelayCall = func(ctx context.Context, shards []int, wait time.Duration) (stamps []string, records []byte)
 
 // relayResult is what a RelayCall for some shards returned.
 type relayResult struct {
@@ -104,9 +107,9 @@
 		s.relayed = true
 		group = append(group, f.shard)
 	}
-	results := r.results
+	ctx, results := r.ctx, r.results
 	job := func() {
-		stamps, records := call(group, scaled(target, relayWait))
+		stamps, records := call(ctx, group, scaled(target, relayWait))
 		results <- result{relayed: &relayResult{group, stamps, records}}
 	}
 	if r.Workers.Submit(job) != nil {
--- a/internal/scatter/relay_test.go
+++ b/internal/scatter/relay_test.go
@@ -1,12 +1,14 @@
 package scatter
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"swiftswitch/internal/endpoints"
+	"swiftswitch/internal/transport"
 )
 
 // stubRelay answers for the shards that it is asked for, but the missing one.
@@ -18,7 +20,7 @@
 
 func (r *stubRelay) Pick(zone string) (RelayCall, bool) {
 	r.zone = zone
-	return func(shards []int, _ time.Duration) ([]string, []byte) {
+	return func(_ context.Context, shards []int, _ time.Duration) ([]string, []byte) {
 		r.shards = shards
 		stamps := make([]string, len(shards))
 		for k, i := range shards {
@@ -48,7 +50,7 @@
 	relay := &stubRelay{missing: 3}
 	q := NewQuery(Policy{MaxAttempts: 2, Idempotent: true, MinShare: 1}, shards)
 	defer q.Release()
-	if !g.Gather(q, newRequest(t, "r"), deadlinesFrom(time.Second, 5*time.Second), relay) {
+	if !g.Gather((*transport.Caller)(nil), q, newRequest(t, "r"), deadlinesFrom(time.Second, 5*time.Second), relay) {
 		t.Fatalf("%d of %d shards answered", q.Answered(), len(shards))
 	}
 	if relay.zone != "b" || !slices.Equal(relay.shards, []int{2, 3, 4}) {
@@ -75,7 +77,7 @@
 	relay := &stubRelay{}
 	q := NewQuery(Policy{MaxAttempts: 1, Idempotent: true, MinShare: 1}, []*ShardRequest{{Service: "s"}})
 	defer q.Release()
-	if !g.Gather(q, newRequest(t, "r"), deadlinesFrom(time.Second, 5*time.Second), relay) || relay.zone != "" {
+	if !g.Gather((*transport.Caller)(nil), q, newRequest(t, "r"), deadlinesFrom(time.Second, 5*time.Second), relay) || relay.zone != "" {
 		t.Fatalf("%d shards answered, zone %q was picked", q.Answered(), relay.zone)
 	}
 }
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -1,20 +1,30 @@
 package scatter
 
 import (
+	"context"
 	"time"
 
 	"swiftswitch/internal/upstream"
 )
 
+// lateAttemptGrace is how long attempts may go on that are in flight when their
+// query was decided and its caller then left. Most end within it, which spares
+// their connections and shows how fast their endpoints are.
+const lateAttemptGrace = 250 * time.Millisecond
+
 // run is the execution of one query. The goroutine of [Gatherer.Gather] owns it
 // and the query, and keeps both on its stack: the query is an argument beside
 // the run, and closures for workers capture single fields of the run, never the
 // run.
 type run struct {
 	*Gatherer
+	caller    Caller
 	request   *upstream.Request
 	deadlines Deadlines
 	relay     Relay
+	// ctx is that of all attempts; cancel breaks them off.
+	ctx    context.Context
+	cancel context.CancelFunc
 	// results has room for every attempt that the policy allows, so that no
 	// send on it blocks.
 	results chan result
@@ -53,6 +63,7 @@
 func (r *run) await(q *Query) (succeeded bool) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	callerLeft := r.caller.Context().Done()
 	for {
 		now := time.Now()
 		phase := r.deadlines.phase(now)
@@ -64,11 +75,20 @@
 		select {
 		case res := <-r.results:
 			r.onResult(q, &res)
+		case <-callerLeft:
+			r.abandon(q)
+			callerLeft = nil
 		case <-timer.C:
 		}
 	}
 }
 
+// abandon ends what is done for a caller that has left.
+func (r *run) abandon(q *Query) {
+	q.OnCallerLeft()
+	r.cancel()
+}
+
 // hedge sends the hedges that are due. It returns when the next one may be, if
 // that is before wake, else wake.
 func (r *run) hedge(q *Query, now, wake time.Time) time.Time {
@@ -105,6 +125,11 @@
 // a full endpoint are spareOnly: they want an endpoint that is not full itself,
 // since under load they would only add to its queue.
 func (r *run) retry(q *Query, i int, spareOnly bool) {
+	if r.caller.Left() {
+		r.abandon(q)
+		q.GiveUp(i)
+		return
+	}
 	s := q.Shards[i]
 	target := r.deadlines.TargetLatency
 	p := r.pick(s, s.attempted, target, spareOnly)
@@ -126,9 +151,9 @@
 		return
 	}
 	q.OnSent(i, p.endpoint)
-	pool, request, deadline, results := r.Upstream, r.request, r.deadlines.ShardDeadline, r.results
+	ctx, pool, request, deadline, results := r.ctx, r.Upstream, r.request, r.deadlines.ShardDeadline, r.results
 	err := r.Workers.Submit(func() {
-		results <- result{shard: i, attempt: pool.Do(p.endpoint, request, p.start, deadline)}
+		results <- result{shard: i, attempt: pool.Do(ctx, p.endpoint, request, p.start, deadline)}
 	})
 	if err != nil {
 		pool.CancelPick(p.endpoint, p.start)
@@ -136,25 +161,36 @@
 	}
 }
 
-// releaseLateResults releases the responses of attempts that are in flight
-// when the query is decided, as they come.
-func (r *run) releaseLateResults(q *Query) {
+// finish ends the run once the query is decided. Attempts that are in flight
+// run on for as long as the caller is there.
+func (r *run) finish(q *Query) {
 	n := q.inFlight()
-	if n == 0 {
-		return
+	if n == 0 || q.callerLeft {
+		r.cancel()
+	}
+	if n > 0 {
+		go releaseResults(r.results, n, r.caller.Context(), r.cancel)
 	}
-	go releaseResults(r.results, n)
 }
 
-// releaseResults releases the results of n attempts.
-func releaseResults(results <-chan result, n int) {
+// releaseResults releases the results of n attempts as they come. If the
+// caller's context is canceled meanwhile, it cancels the attempts that are not
+// about to end.
+func releaseResults(results <-chan result, n int, caller context.Context, cancel context.CancelFunc) {
+	defer cancel()
+	callerLeft := caller.Done()
 	for n > 0 {
-		res := <-results
-		res.attempt.Release()
-		if res.relayed != nil {
-			n -= len(res.relayed.shards)
-		} else {
-			n--
+		select {
+		case res := <-results:
+			res.attempt.Release()
+			if res.relayed != nil {
+				n -= len(res.relayed.shards)
+			} else {
+				n--
+			}
+		case <-callerLeft:
+			callerLeft = nil
+			defer time.AfterFunc(lateAttemptGrace, cancel).Stop()
 		}
 	}
 }
--- /dev/null
+++ b/internal/transport/caller.go
@@ -0,0 +1,105 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"syscall"
+)
+
+// Caller is the other end of an accepted connection, which waits for responses
+// on it. It has left once the connection was closed, by either side; a caller
+// that shut down only its sending side counts as one that left, since the
+// socket shows the same end of stream for both.
+//
+// A handler calls Left before it begins work that only the caller needs, and
+// Watch while it waits for such work. A nil Caller never leaves.
+type Caller struct {
+	watcher *hangupWatcher
+	// ctx is canceled when the caller was seen to have left.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// fd is the connection's socket, negative once it is closed.
+	// hangupWatcher.mu guards it: the socket is not closed under a look at it.
+	fd int32
+}
+
+// callerKey is the key of the Caller among the values of a handler's context.
+type callerKey struct{}
+
+// newCaller returns the caller of an accepted connection.
+func newCaller(conn net.Conn, watcher *hangupWatcher) *Caller {
+	c := &Caller{watcher: watcher, fd: socketOf(conn)}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// CallerFrom returns the caller of the request that a handler of Serve was
+// given this context for, nil where the context is another.
+func CallerFrom(ctx context.Context) *Caller {
+	caller, _ := ctx.Value(callerKey{}).(*Caller)
+	return caller
+}
+
+// handlerContext returns the context of the handlers of this caller's requests.
+func (c *Caller) handlerContext() context.Context {
+	return context.WithValue(c.ctx, callerKey{}, c)
+}
+
+// Context returns a context that is canceled once the caller was seen to have
+// left. Nobody looks for that but Left, Watch, and the connection's reader
+// between two requests.
+func (c *Caller) Context() context.Context {
+	if c == nil {
+		return context.Background()
+	}
+	return c.ctx
+}
+
+// Left looks whether the caller has left, without blocking. It takes a system
+// call. What a caller sent before it left does not hide that it did.
+func (c *Caller) Left() bool {
+	if c == nil {
+		return false
+	}
+	if c.ctx.Err() != nil {
+		return true
+	}
+	c.watcher.look(c)
+	return c.ctx.Err() != nil
+}
+
+// Watch has the connection looked at regularly, from a little after now until
+// Unwatch.
+func (c *Caller) Watch() {
+	if c != nil {
+		c.watcher.add(c)
+	}
+}
+
+// Unwatch ends Watch.
+func (c *Caller) Unwatch() {
+	if c != nil {
+		c.watcher.remove(c)
+	}
+}
+
+// close must be called before the connection is closed.
+func (c *Caller) close() {
+	c.watcher.forget(c)
+	c.cancel()
+}
+
+// socketOf returns the file descriptor of a connection, -1 if it has none.
+func socketOf(conn net.Conn) (socket int32) {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return -1
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	socket = -1
+	_ = raw.Control(func(fd uintptr) { socket = int32(fd) })
+	return socket
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -85,6 +86,12 @@
 // Do sends a request to addr (host:port) and returns the response, of any
 // status. It takes no longer than timeout.
 func (c *Client) Do(addr, method, path string, headers map[string]string, body []byte, timeout time.Duration) (Response, error) {
+	return c.DoContext(context.Background(), addr, method, path, headers, body, timeout)
+}
+
+// DoContext is Do, which also ends, with the error of ctx, once ctx is canceled.
+// The called node sees its caller leave.
+func (c *Client) DoContext(ctx context.Context, addr, method, path string, headers map[string]string, body []byte, timeout time.Duration) (Response, error) {
 	start := time.Now()
 	deadline := start.Add(timeout)
 	conn := c.takeIdle(addr, start)
@@ -97,7 +104,7 @@
 	parsed := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(parsed)
 	request := appendRequest(addr, method, path, headers, body)
-	if _, err := conn.Exchange(request, deadline, false, c.options.MaxBodyBytes, parsed); err != nil {
+	if _, err := conn.Exchange(ctx, request, deadline, false, c.options.MaxBodyBytes, parsed); err != nil {
 		_ = conn.Close()
 		return Response{}, err
 	}
@@ -113,11 +120,16 @@
 // CallJSON posts in as JSON and decodes the response into out, unless out is
 // nil. A status other than 200 is a *StatusError.
 func (c *Client) CallJSON(addr, path string, in, out any, timeout time.Duration) error {
+	return c.CallJSONContext(context.Background(), addr, path, in, out, timeout)
+}
+
+// CallJSONContext is CallJSON, by DoContext.
+func (c *Client) CallJSONContext(ctx context.Context, addr, path string, in, out any, timeout time.Duration) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return err
 	}
-	response, err := c.Do(addr, http.MethodPost, path, nil, body, timeout)
+	response, err := c.DoContext(ctx, addr, http.MethodPost, path, nil, body, timeout)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -36,15 +37,31 @@
 
 // Exchange sends a request and reads its response into out, skipping interim
 // responses. isHead says that the request is a HEAD, whose response has no
-// body. sent reports whether any byte may have gone out. After an error the
-// connection must be closed.
-func (c *Conn) Exchange(request []byte, deadline time.Time, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
+// body. sent reports whether any byte may have gone out. Once ctx is canceled
+// it fails, with the error of ctx. After an error the connection must be
+// closed, which is how HTTP/1.1 tells the peer to stop.
+func (c *Conn) Exchange(ctx context.Context, request []byte, deadline time.Time, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
 	if c.HasUnsolicited() {
 		return false, ErrUnsolicited
 	}
 	if err := c.SetDeadline(deadline); err != nil {
 		return false, err
 	}
+	if err := ctx.Err(); err != nil {
+		return false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
+	sent, err = c.exchange(request, isHead, maxBodyBytes, out)
+	if !stop() {
+		// The deadline may still be about to change: the connection must not
+		// be used again, even if the response is whole.
+		return sent, ctx.Err()
+	}
+	return sent, err
+}
+
+// exchange is Exchange within the deadline that is set.
+func (c *Conn) exchange(request []byte, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
 	n, err := c.Write(request)
 	if err != nil {
 		return n > 0, err
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -38,7 +38,7 @@
 	// Timeouts, where set, is called for each read in place of ReadTimeout and
 	// IdleTimeout.
 	Timeouts func() (read, idle time.Duration)
-	// Tracker, where set together with Timeouts, tracks the connections.
+	// Tracker, where set, tracks the connections.
 	Tracker *ConnTracker
 }
 
@@ -63,13 +63,14 @@
 
 // Serve starts a server on listener, whose every request goes to handle. Paths
 // aren't normalised, nothing is added to responses, and no body is touched. The
-// server ends with its listener.
+// context that handle is given belongs to the connection: CallerFrom returns
+// its Caller. The server ends with its listener.
 func Serve(listener net.Listener, options ServerOptions, handle app.HandlerFunc) *server.Hertz {
+	if options.Tracker == nil {
+		options.Tracker = &ConnTracker{}
+	}
+	listener = trackedListener{Listener: listener, tracker: options.Tracker, hangups: &hangupWatcher{}, timeouts: options.Timeouts}
 	if options.Timeouts != nil {
-		if options.Tracker == nil {
-			options.Tracker = &ConnTracker{}
-		}
-		listener = trackedListener{Listener: listener, tracker: options.Tracker, timeouts: options.Timeouts}
 		options.ReadTimeout, options.IdleTimeout = readPlaceholder, idlePlaceholder
 	}
 	h := server.New(
@@ -93,7 +94,7 @@
 		server.WithOnAccept(func(conn net.Conn) context.Context {
 			setTCPUserTimeoutOn(conn, options.TCPUserTimeout)
 			_ = conn.SetReadDeadline(time.Now().Add(options.ReadTimeout))
-			return context.Background()
+			return conn.(*trackedConn).caller.handlerContext()
 		}),
 	)
 	h.NoRoute(handle)
--- a/internal/transport/tracker.go
+++ b/internal/transport/tracker.go
@@ -73,10 +73,13 @@
 	delete(t.conns, c)
 }
 
-// trackedListener accepts connections that its tracker knows.
+// trackedListener accepts connections that its tracker knows, and whose callers
+// its hangupWatcher can watch.
 type trackedListener struct {
 	net.Listener
-	tracker  *ConnTracker
+	tracker *ConnTracker
+	hangups *hangupWatcher
+	// timeouts may be nil.
 	timeouts func() (read, idle time.Duration)
 }
 
@@ -86,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &trackedConn{Conn: conn, tracker: l.tracker, timeouts: l.timeouts, idle: true}
+	c := &trackedConn{Conn: conn, caller: newCaller(conn, l.hangups), tracker: l.tracker, timeouts: l.timeouts, idle: true}
 	l.tracker.add(c)
 	return c, nil
 }
@@ -95,7 +98,9 @@
 // guards idle and responded.
 type trackedConn struct {
 	net.Conn
-	tracker  *ConnTracker
+	caller  *Caller
+	tracker *ConnTracker
+	// timeouts is nil where deadlines are not replaced.
 	timeouts func() (read, idle time.Duration)
 	// idle says that nothing of a request was read since the last response.
 	idle bool
@@ -144,13 +149,14 @@
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.tracker.remove(c)
+	c.caller.close()
 	return c.Conn.Close()
 }
 
 // SetReadDeadline implements net.Conn. A deadline that was made from one of
 // the placeholders is replaced by one from the present timeouts.
 func (c *trackedConn) SetReadDeadline(deadline time.Time) error {
-	if left := time.Until(deadline); left > readPlaceholder/2 {
+	if left := time.Until(deadline); c.timeouts != nil && left > readPlaceholder/2 {
 		timeout, idleTimeout := c.timeouts()
 		if left > (readPlaceholder+idlePlaceholder)/2 {
 			timeout = idleTimeout
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -29,14 +30,19 @@
 	// OutcomeUnknown: bytes went out and no whole response came, so that the
 	// endpoint may have processed the request.
 	OutcomeUnknown
+	// OutcomeCanceled: this node broke the attempt off after bytes went out. The
+	// endpoint may have processed the request; nothing is known about how well.
+	OutcomeCanceled
 )
 
 // minAttemptTime is the least time for which an attempt is worth making.
 const minAttemptTime = time.Millisecond
 
-// errNoTimeLeft is the error of an attempt that was not made. It says nothing
-// about the endpoint.
-var errNoTimeLeft = errors.New("no time left")
+// Errors of an attempt that was not made. They say nothing about the endpoint.
+var (
+	errNoTimeLeft = errors.New("no time left")
+	errCanceled   = errors.New("canceled before the request was sent")
+)
 
 // Attempt is one attempt at a request, and how it ended.
 type Attempt struct {
@@ -52,7 +58,8 @@
 	Response *protocol.Response
 	// RelayedBody is the body of a response that another front relayed.
 	RelayedBody []byte
-	// Err is set where the outcome is OutcomeUnsent or OutcomeUnknown.
+	// Err is set where the outcome is OutcomeUnsent, OutcomeUnknown or
+	// OutcomeCanceled.
 	Err error
 	// Duration is how long the exchange lasted, without the opening of the
 	// connection.
@@ -77,6 +84,15 @@
 	return a.Outcome == OutcomeAnswered && a.Status >= 200 && a.Status < 300 && a.Stamp != ""
 }
 
+// MayHaveRun reports whether the endpoint may have processed the request.
+func (a *Attempt) MayHaveRun() bool {
+	switch a.Outcome {
+	case OutcomeUnprocessed, OutcomeUnsent:
+		return false
+	}
+	return true
+}
+
 // Release gives the response's memory back. Slices of it must not be used after.
 func (a *Attempt) Release() {
 	if a.Response != nil {
@@ -87,12 +103,16 @@
 
 // Do sends the request to an endpoint that Pick returned with start, and waits
 // for the response until the deadline. It sends the request once at most.
-func (p *Pool) Do(e *Endpoint, request *Request, start, deadline time.Time) Attempt {
-	attempt := p.exchange(e, request, deadline)
+//
+// Once ctx is canceled the request is not sent any more. One that is under way
+// is broken off if it is idempotent; the work of another is not undone by that,
+// so it runs to its end. A canceled attempt counts neither as a failure of the
+// endpoint nor as a sample of its latency.
+func (p *Pool) Do(ctx context.Context, e *Endpoint, request *Request, start, deadline time.Time) Attempt {
+	attempt := p.exchange(ctx, e, request, deadline)
 	attempt.Endpoint = e
 	p.record(e, &attempt, start)
-	maybeProcessed := attempt.Outcome == OutcomeAnswered || attempt.Outcome == OutcomeUnknown
-	if maybeProcessed && !attempt.closedOnConnect {
+	if attempt.MayHaveRun() && attempt.Outcome != OutcomeCanceled && !attempt.closedOnConnect {
 		p.OnAttempt(e, request, &attempt)
 	}
 	return attempt
@@ -100,40 +120,36 @@
 
 // exchange sends the request on an idle or a new connection and reads the
 // response.
-func (p *Pool) exchange(e *Endpoint, request *Request, deadline time.Time) Attempt {
+func (p *Pool) exchange(ctx context.Context, e *Endpoint, request *Request, deadline time.Time) Attempt {
 	now := time.Now()
-	remaining := deadline.Sub(now)
-	if remaining < minAttemptTime {
+	if deadline.Sub(now) < minAttemptTime {
 		return Attempt{Outcome: OutcomeUnsent, Err: errNoTimeLeft}
 	}
-	minIdle := time.Duration(0)
-	if request.internal {
-		minIdle = p.options.SettleTime
+	conn, dialed, err := p.connect(e, request, now, deadline)
+	if err != nil {
+		return Attempt{Outcome: OutcomeUnsent, Err: err}
 	}
-	conn := p.takeIdle(e, now, minIdle)
-	dialed := conn == nil
-	if dialed {
-		var err error
-		conn, err = transport.Dial(e.Addr, min(remaining, p.options.DialTimeout), p.options.TCPUserTimeout)
-		if err != nil {
-			return Attempt{Outcome: OutcomeUnsent, Err: err}
-		}
-		remaining = time.Until(deadline)
+	if ctx.Err() != nil {
+		// Opening the connection may have taken long.
+		p.putIdle(e, conn, p.options.IdleTimeout)
+		return Attempt{Outcome: OutcomeUnsent, Err: errCanceled}
+	}
+	if !request.Idempotent {
+		ctx = context.Background()
 	}
 	response := protocol.AcquireResponse()
 	began := time.Now()
-	sent, err := conn.Exchange(request.encode(e.ID, remaining), deadline, request.Method == http.MethodHead, p.options.MaxBodyBytes, response)
+	sent, err := conn.Exchange(ctx, request.encode(e.ID, deadline.Sub(began)), deadline, request.Method == http.MethodHead, p.options.MaxBodyBytes, response)
 	if err == nil && !answers(response, request.ID) {
 		err = transport.ErrUnsolicited
 	}
 	if err != nil {
 		_ = conn.Close()
 		protocol.ReleaseResponse(response)
-		if !sent {
-			return Attempt{Outcome: OutcomeUnsent, Err: err}
-		}
-		events.Log(events.ResponseMalformed, "searcher", e.ID, "err", err)
-		return Attempt{Outcome: OutcomeUnknown, Err: err, Duration: time.Since(began), closedOnConnect: dialed && closedByEndpoint(err)}
+		failed := failedAttempt(ctx, e, sent, err)
+		failed.Duration = time.Since(began)
+		failed.closedOnConnect = failed.Outcome == OutcomeUnknown && dialed && closedByEndpoint(err)
+		return failed
 	}
 	attempt := answeredAttempt(response, time.Since(began))
 	p.recordLoad(e, response)
@@ -141,6 +157,34 @@
 	return attempt
 }
 
+// connect returns an idle connection to the endpoint, or a new one.
+func (p *Pool) connect(e *Endpoint, request *Request, now, deadline time.Time) (conn *transport.Conn, dialed bool, err error) {
+	minIdle := time.Duration(0)
+	if request.internal {
+		minIdle = p.options.SettleTime
+	}
+	if conn = p.takeIdle(e, now, minIdle); conn != nil {
+		return conn, false, nil
+	}
+	conn, err = transport.Dial(e.Addr, min(deadline.Sub(now), p.options.DialTimeout), p.options.TCPUserTimeout)
+	return conn, true, err
+}
+
+// failedAttempt returns the attempt of an exchange that failed. sent reports
+// whether any byte may have gone out.
+func failedAttempt(ctx context.Context, e *Endpoint, sent bool, err error) Attempt {
+	switch canceled := ctx.Err() != nil; {
+	case canceled && !sent:
+		return Attempt{Outcome: OutcomeUnsent, Err: errCanceled}
+	case canceled:
+		return Attempt{Outcome: OutcomeCanceled, Err: err}
+	case !sent:
+		return Attempt{Outcome: OutcomeUnsent, Err: err}
+	}
+	events.Log(events.ResponseMalformed, "searcher", e.ID, "err", err)
+	return Attempt{Outcome: OutcomeUnknown, Err: err}
+}
+
 // answeredAttempt returns the attempt of a whole response.
 func answeredAttempt(response *protocol.Response, duration time.Duration) Attempt {
 	attempt := Attempt{
@@ -165,7 +209,7 @@
 	case response.ConnectionClose():
 		_ = conn.Close()
 	default:
-		p.putIdle(e, conn, response)
+		p.putIdle(e, conn, p.idleTimeout(response))
 	}
 }
 
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"testing"
@@ -27,7 +28,7 @@
 	if e == nil {
 		t.Fatal("nothing was picked")
 	}
-	attempt := pool.Do(e, request, start, time.Now().Add(timeout))
+	attempt := pool.Do(context.Background(), e, request, start, time.Now().Add(timeout))
 	if attempt.Endpoint != e || len(e.inFlight) != 0 {
 		t.Fatalf("attempt %+v, %d under way", attempt, len(e.inFlight))
 	}
--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -71,7 +72,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		e, start := pool.Pick(Selector{Service: "s"}, nil, time.Second, false)
-		attempt := pool.Do(e, request, start, time.Now().Add(time.Second))
+		attempt := pool.Do(context.Background(), e, request, start, time.Now().Add(time.Second))
 		if !attempt.Succeeded() {
 			b.Fatalf("%+v", attempt)
 		}
--- a/internal/upstream/conn_pool.go
+++ b/internal/upstream/conn_pool.go
@@ -39,15 +39,20 @@
 	}
 }
 
-// putIdle keeps a connection for the next request, for as long as the response
-// says or by default.
-func (p *Pool) putIdle(e *Endpoint, conn *transport.Conn, response *protocol.Response) {
-	conn.IdleSince, conn.IdleTimeout = time.Now(), p.options.IdleTimeout
+// idleTimeout returns for how long a connection is kept after a response: as
+// long as the response says, or by default.
+func (p *Pool) idleTimeout(response *protocol.Response) time.Duration {
 	if header := response.Header.Peek("Keep-Alive"); len(header) > 0 {
 		if timeout, ok := keepAliveTimeout(string(header)); ok {
-			conn.IdleTimeout = timeout
+			return timeout
 		}
 	}
+	return p.options.IdleTimeout
+}
+
+// putIdle keeps a connection for the next request.
+func (p *Pool) putIdle(e *Endpoint, conn *transport.Conn, timeout time.Duration) {
+	conn.IdleSince, conn.IdleTimeout = time.Now(), timeout
 	p.mu.Lock()
 	if e.removed || conn.IdleSince.Before(e.noReuseUntil) {
 		p.mu.Unlock()
--- a/internal/upstream/conn_pool_test.go
+++ b/internal/upstream/conn_pool_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -80,7 +81,7 @@
 	if idle.Reusable() || len(e.idleConns) != 0 {
 		t.Fatal("an idle connection was kept")
 	}
-	if a := pool.Do(picked, request, start, time.Now().Add(time.Second)); !a.Succeeded() || len(e.idleConns) != 0 {
+	if a := pool.Do(context.Background(), picked, request, start, time.Now().Add(time.Second)); !a.Succeeded() || len(e.idleConns) != 0 {
 		t.Fatalf("attempt %+v, %d idle connections after it", a, len(e.idleConns))
 	}
 	if got := pickID(pool, Selector{Service: "s"}, false); got != "j" {
--- a/internal/upstream/malformed_response_test.go
+++ b/internal/upstream/malformed_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"strings"
@@ -146,7 +147,7 @@
 			}
 			do := func() Attempt {
 				e, start := pool.Pick(Selector{Service: "s"}, nil, time.Second, false)
-				attempt := pool.Do(e, request, start, time.Now().Add(250*time.Millisecond))
+				attempt := pool.Do(context.Background(), e, request, start, time.Now().Add(250*time.Millisecond))
 				time.Sleep(2 * lateDelay)
 				return attempt
 			}
@@ -178,7 +179,7 @@
 	pool := newTestPool(t, options, endpoints.Endpoint{ID: "i", Service: "s", Addr: addr, Slots: 2})
 	for i, want := range []string{"one1", "two2", "thr3", "fou4", "fiv5"} {
 		e, start := pool.Pick(Selector{Service: "s"}, nil, time.Second, false)
-		a := pool.Do(e, NewFetchRequest("own", "a.example", "/"+want, ""), start, time.Now().Add(time.Second))
+		a := pool.Do(context.Background(), e, NewFetchRequest("own", "a.example", "/"+want, ""), start, time.Now().Add(time.Second))
 		if !a.Succeeded() || string(a.Records()) != want {
 			t.Fatalf("%s was answered with %q, %+v", want, a.Records(), a)
 		}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -17,10 +17,12 @@
 	Target string
 	// DeadlineMs is how long the client waits, in milliseconds, or noDeadline.
 	DeadlineMs float64
-	// Route is the name of the request's route, LatencyTarget the time within
-	// which a response has its full value. The caller sets both.
+	// Route is the name of the request's route, TargetLatency the time within
+	// which a response has its full value, and Idempotent whether the request
+	// may be processed more than once. The caller sets all three.
 	Route         string
 	TargetLatency time.Duration
+	Idempotent    bool
 
 	// internal is whether the request is the system's own. Responses to such
 	// requests don't repeat the ID.
@@ -44,7 +46,7 @@
 	if etag != "" {
 		head += "If-None-Match: " + etag + "\r\n"
 	}
-	return &Request{ID: id, Host: host, Method: http.MethodGet, Target: target, DeadlineMs: noDeadline, internal: true, head: []byte(head)}
+	return &Request{ID: id, Host: host, Method: http.MethodGet, Target: target, DeadlineMs: noDeadline, Idempotent: true, internal: true, head: []byte(head)}
 }
 
 // NewRelayedRequest returns the request whose Head another front relayed, which
@@ -55,7 +57,7 @@
 	if len(requestLine) != 3 || lines[len(lines)-1] != "" {
 		return nil, false
 	}
-	request = &Request{Method: requestLine[0], Target: requestLine[1], DeadlineMs: noDeadline, head: []byte(head)}
+	request = &Request{Method: requestLine[0], Target: requestLine[1], DeadlineMs: noDeadline, Idempotent: true, head: []byte(head)}
 	for _, line := range lines[1:] {
 		name, value, _ := strings.Cut(line, ": ")
 		switch strings.ToLower(name) {
