--- a/internal/frontend/cached_route_test.go
+++ b/internal/frontend/cached_route_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,3 +76,29 @@
 		}
 	}
 }
+
+// purgedFetcher fetches objects that a purge has invalidated on their way.
+type purgedFetcher struct{ fetches *atomic.Int64 }
+
+func (f purgedFetcher) Fetch(request FetchRequest) FetchResult {
+	f.fetches.Add(1)
+	return FetchResult{Object: &cache.Object{Host: request.Host, Target: request.Target, Service: "s", Body: []byte("x"), ETag: "x", Stamp: "x"}}
+}
+
+// A request that gives up after several fetches leaves none behind that nobody
+// carries out: the next request for the object fetches it again.
+func TestNoFetchIsLeftBehind(t *testing.T) {
+	addr, h := newTestFront(t)
+	fetcher := purgedFetcher{&atomic.Int64{}}
+	c := NewCacheHandler(110_000, func() time.Duration { return 0 }, fetcher)
+	c.ApplyPurges(0, 0, nil)
+	c.ApplyPurges(1, 0, []cache.Purge{{Seq: 1, Host: "a.example", Path: "/cached/a"}})
+	h.SetCacheHandler(c)
+	for i := range int64(2) {
+		began := time.Now()
+		responses, _ := send(t, addr, rawRequest("GET", "/cached/a", "1", "", ""), "GET")
+		if len(responses) != 1 || responses[0].status != 503 || fetcher.fetches.Load() != maxFetches*(i+1) || time.Since(began) > 300*time.Millisecond {
+			t.Errorf("request %d: %+v after %v, %d fetches in all", i, responses, time.Since(began), fetcher.fetches.Load())
+		}
+	}
+}
--- a/internal/frontend/client_disconnect_test.go
+++ b/internal/frontend/client_disconnect_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +73,55 @@
 	}
 	time.Sleep(delay)
 }
+
+// A client that left while its request waited for the first snapshot, as after a
+// restart of everything, is not served any more; one that stayed is.
+func TestClientDisconnectsBeforeFirstSnapshot(t *testing.T) {
+	endpoint := newTestEndpoint(t, replyWhole)
+	addr, h := newTestFrontWithoutSnapshot(t, endpoint.addr)
+	for _, request := range []string{"GET /safe/gone", "POST /unsafe/gone", "GET /safe/stays"} {
+		client, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		method, target, _ := strings.Cut(request, " ")
+		if _, err := io.WriteString(client, rawRequest(method, target, "1", "", "")); err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasSuffix(target, "gone") {
+			_ = client.Close()
+		} else {
+			defer func() { _ = client.Close() }()
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	h.SetSnapshot(newTestSnapshot())
+	time.Sleep(300 * time.Millisecond)
+	if got := endpoint.takeProcessed(); len(got) != 1 || got[0] != "GET /safe/stays 1" {
+		t.Errorf("the endpoint received %q", got)
+	}
+}
+
+// A fetch whose first client is gone before it begins is not left for others to
+// wait for: the next client carries it out.
+func TestClientDisconnectsBeforeFetch(t *testing.T) {
+	addr, h := newTestFrontWithoutSnapshot(t)
+	c := NewCacheHandler(110_000, func() time.Duration { return 0 }, testFetcher{map[string]int{"a": 5}})
+	c.ApplyPurges(0, 0, nil)
+	h.SetCacheHandler(c)
+	client, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(client, rawRequest("GET", "/cached/a", "1", "", "")); err != nil {
+		t.Fatal(err)
+	}
+	_ = client.Close()
+	time.Sleep(20 * time.Millisecond)
+	h.SetSnapshot(newTestSnapshot())
+	time.Sleep(20 * time.Millisecond)
+	responses, _ := send(t, addr, rawRequest("GET", "/cached/a", "2", "", ""), "GET")
+	if len(responses) != 1 || responses[0].status != 200 {
+		t.Errorf("the next client got %+v", responses)
+	}
+}
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -136,8 +136,15 @@
 // the order given. It returns the address for clients and the handler.
 func newTestFront(t *testing.T, endpointAddrs ...string) (addr string, h *Handler) {
 	t.Helper()
-	h = New(Options{PartialResponseAfter: 0.9, GiveUpAfter: 0.97, WriteTimeout: 2 * time.Second, OverloadFactor: 50}, newTestGatherer(t, endpointAddrs))
+	addr, h = newTestFrontWithoutSnapshot(t, endpointAddrs...)
 	h.SetSnapshot(newTestSnapshot())
+	return addr, h
+}
+
+// newTestFrontWithoutSnapshot is newTestFront right after its start.
+func newTestFrontWithoutSnapshot(t *testing.T, endpointAddrs ...string) (addr string, h *Handler) {
+	t.Helper()
+	h = New(Options{PartialResponseAfter: 0.9, GiveUpAfter: 0.97, WriteTimeout: 2 * time.Second, OverloadFactor: 50, StartupWait: 2 * time.Second}, newTestGatherer(t, endpointAddrs))
 	ln, err := transport.Listen("127.0.0.1:0", time.Second, time.Second, nil)
 	if err != nil {
 		t.Fatal("no listener")
--- a/internal/scatter/query_test.go
+++ b/internal/scatter/query_test.go
@@ -13,7 +13,7 @@
 )
 
 // minTraces is how many traces there are at least.
-const minTraces = 9
+const minTraces = 10
 
 func TestTraces(t *testing.T) {
 	tracetest.Play(t, minTraces, func() func([]string) error {
@@ -39,6 +39,8 @@
 		}
 	case "relayed": // relayed SHARDS STAMPS RETRY valid|invalid: "-" stands for a part that is missing
 		return playRelayed(*q, arg)
+	case "caller-left": // caller-left
+		(*q).OnCallerLeft()
 	case "bodies": // bodies N: how many shards bring records
 		return expect(arg[0], strconv.Itoa(countBodies(*q)))
 	case "can-forward": // can-forward SHARD yes|no: its last failure
@@ -89,7 +91,7 @@
 }
 
 // attempt is an attempt by its word in a trace: ok:STAMP, no-stamp, a status,
-// unprocessed, unsent, unknown.
+// unprocessed, unsent, unknown, canceled.
 func attempt(word string) upstream.Attempt {
 	kind, stamp, _ := strings.Cut(word, ":")
 	a := upstream.Attempt{Response: protocol.AcquireResponse(), Stamp: stamp}
@@ -108,6 +110,8 @@
 		return upstream.Attempt{Outcome: upstream.OutcomeUnsent}
 	case "unknown":
 		return upstream.Attempt{Outcome: upstream.OutcomeUnknown}
+	case "canceled":
+		return upstream.Attempt{Outcome: upstream.OutcomeCanceled}
 	default:
 		panic(word)
 	}
--- a/internal/testcluster/endpoint.go
+++ b/internal/testcluster/endpoint.go
@@ -25,6 +25,10 @@
 	ModeNotRun Mode = "notrun"
 	// ModeSlow answers after slowAnswerDelay.
 	ModeSlow Mode = "slow"
+	// ModeFailLate answers 500 after slowAnswerDelay.
+	ModeFailLate Mode = "faillate"
+	// ModeHang answers nothing, for hangTime at most.
+	ModeHang Mode = "hang"
 	// ModeSurplus sends a second answer after the first.
 	ModeSurplus Mode = "surplus"
 	// ModeNoStamp answers without a server stamp.
@@ -33,6 +37,7 @@
 
 const (
 	slowAnswerDelay = 700 * time.Millisecond
+	hangTime        = 5 * time.Second
 	surplusDelay    = 50 * time.Millisecond
 	// recordBytes is the length of a record and recordsPerService how many an
 	// answer holds.
@@ -53,6 +58,8 @@
 	// Executed lists the requests that were executed, as "METHOD TARGET ID
 	// BODY". Tests may read it while no request is in flight.
 	Executed []string
+	// arrivals lists all requests that came, and when the work on each ended.
+	arrivals []*Arrival
 	// objectVersion is the version of the objects that an origin serves, 0 if
 	// the endpoint is none.
 	objectVersion int
@@ -98,6 +105,7 @@
 		return
 	}
 	mode, stamp := e.execute(r, body)
+	defer e.recordArrival(r, mode)()
 	if mode != ModeNoStamp {
 		w.Header().Set("Swiftswitch-Server-Stamp", stamp)
 	}
@@ -116,8 +124,13 @@
 	case ModeSurplus:
 		answerTwice(w, stamp, Records(e.service))
 		return
-	case ModeSlow:
-		time.Sleep(slowAnswerDelay)
+	}
+	if !awaitConnection(r, mode.delay()) {
+		return
+	}
+	if mode == ModeFailLate {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	}
 	e.mu.Lock()
 	objectVersion := e.objectVersion
@@ -131,6 +144,31 @@
 	_, _ = w.Write(Records(e.service))
 }
 
+// delay is how long an endpoint of this mode works on a request.
+func (m Mode) delay() time.Duration {
+	switch m {
+	case ModeSlow, ModeFailLate:
+		return slowAnswerDelay
+	case ModeHang:
+		return hangTime
+	}
+	return 0
+}
+
+// awaitConnection waits, and reports whether the connection of the request was
+// still open at the end.
+func awaitConnection(r *http.Request, delay time.Duration) bool {
+	if delay == 0 {
+		return true
+	}
+	select {
+	case <-time.After(delay):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 // execute records the request, unless it is to be rejected, and returns the
 // mode that it is answered in and the stamp of the answer.
 func (e *Endpoint) execute(r *http.Request, body []byte) (Mode, string) {
