--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -6,10 +6,15 @@
 	"swiftswitch/internal/events"
 )
 
+// maxAcceptTime is how long after its signal a draining node accepts requests at
+// most. The users let a node cut requests at the end of its grace period, but
+// none that was sent later than 3 s after the signal.
+const maxAcceptTime = 3 * time.Second
+
 // Steps of a graceful shutdown, as parts of the grace period.
 const (
 	// closeListenerAt leaves the platform time to send clients elsewhere after
-	// the readiness probe has failed.
+	// the readiness probe has failed; it is maxAcceptTime at the latest.
 	closeListenerAt = 0.5
 	// cancelWaitingAt is when requests are answered that wait in the handler.
 	cancelWaitingAt = 0.65
@@ -25,7 +30,7 @@
 func (s *Server) Drain(start time.Time, grace time.Duration) {
 	events.Log(events.FrontNotReady, "why", "leaving")
 	s.frontend.Drain()
-	time.Sleep(time.Until(start.Add(scaled(grace, closeListenerAt))))
+	time.Sleep(time.Until(start.Add(acceptTime(grace))))
 	s.clients.close()
 	// Idle connections are closed; the others close with their response.
 	s.clients.connections.Drain()
@@ -38,3 +43,8 @@
 		time.Sleep(scaled(grace, drainCheckInterval))
 	}
 }
+
+// acceptTime returns for how long of a grace period requests are accepted.
+func acceptTime(grace time.Duration) time.Duration {
+	return min(scaled(grace, closeListenerAt), maxAcceptTime)
+}
