--- a/internal/node/client_disconnect_cluster_test.go
+++ b/internal/node/client_disconnect_cluster_test.go
@@ -4,11 +4,14 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"swiftswitch/internal/nodeapi"
 	"swiftswitch/internal/testcluster"
+	"swiftswitch/internal/transport"
 )
 
 // For how long, and with which troubles, the rig looks for more:
@@ -173,3 +176,35 @@
 		}
 	}
 }
+
+// An operator's call that its caller has left before it was read is not begun:
+// the caller went on to another node, and the order may be an old one.
+func TestOperatorLeavesBeforeItsCallIsRead(t *testing.T) {
+	c, endpoints := testcluster.StartDefault(t)
+	addEndpoints(c, endpoints, "origin-a")
+	for n, isFront := range map[int]bool{1: false, 11: true} {
+		settings := c.Nodes[fmt.Sprint(n)].Settings()
+		version := 100 * n
+		listener, err := transport.Listen(fmt.Sprintf("%s:%d", c.IP(n), c.Port+20), time.Second, time.Second, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		conn, err := net.Dial("tcp4", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := testcluster.ConfigurationBody(version, "s1")
+		if _, err := fmt.Fprintf(conn, "PUT %s HTTP/1.1\r\nHost: a\r\nIf-Match: 3\r\nContent-Length: %d\r\n\r\n%s", nodeapi.PathConfiguration, len(body), body); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close()
+		time.Sleep(50 * time.Millisecond)
+		running := c.Nodes[fmt.Sprint(n)]
+		transport.Serve(listener, running.ServerOptions(time.Second), running.HandleInternal)
+		time.Sleep(500 * time.Millisecond)
+		if status, got := c.PutConfiguration(2, "GET", "", ""); status != 200 || got != testcluster.ConfigurationBody(3, "s1", "s2") {
+			t.Errorf("%s, a front: %v: the order of a caller that had left is in force: %d %.20s", settings.NodeName, isFront, status, got)
+		}
+	}
+}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -27,7 +27,9 @@
 // forwarding is one operator's call on its way to a node that may settle it.
 // It is used by the goroutine of the call alone.
 type forwarding struct {
-	node     *Node
+	node *Node
+	// caller is who the call is forwarded for.
+	caller   *transport.Caller
 	method   string
 	path     string
 	ifMatch  string
@@ -46,9 +48,9 @@
 
 // forward sends an operator's call to a node that may settle it: to the best
 // candidate first, and to further ones while there is no answer or it was a
-// failure. All that happens before the deadline. A call that was forwarded
-// already is not forwarded again.
-func (n *Node) forward(c *app.RequestContext, path string, deadline time.Time) {
+// failure. All that happens before the deadline, and while the caller is there.
+// A call that was forwarded already is not forwarded again.
+func (n *Node) forward(c *app.RequestContext, caller *transport.Caller, path string, deadline time.Time) {
 	if len(c.Request.Header.Peek(nodeapi.HeaderForwardedBy)) > 0 {
 		n.WriteUnavailable(c, "this node has no state yet")
 		return
@@ -56,6 +58,7 @@
 	candidates := n.forwardCandidates()
 	f := &forwarding{
 		node:    n,
+		caller:  caller,
 		method:  string(c.Request.Header.Method()),
 		path:    path,
 		ifMatch: string(c.Request.Header.Peek("If-Match")),
@@ -101,6 +104,8 @@
 	defer expired.Stop()
 	hedge := time.NewTicker(f.hedgeInterval())
 	defer hedge.Stop()
+	f.caller.Watch()
+	defer f.caller.Unwatch()
 	f.attemptNext()
 	for f.pending > 0 {
 		select {
@@ -119,6 +124,8 @@
 		case <-hedge.C:
 			f.node.recordAnswer(f.last, false)
 			f.attemptNext()
+		case <-f.caller.Context().Done():
+			return nil
 		case <-expired.C:
 			return nil
 		case <-f.node.Stopping:
@@ -133,10 +140,11 @@
 	return max(time.Duration(float64(timeout)*hedgeRatio), minTimeLeft)
 }
 
-// attemptNext starts an attempt at the next candidate, if there is one and time.
+// attemptNext starts an attempt at the next candidate, if there is one and time,
+// and the caller has not left.
 func (f *forwarding) attemptNext() {
 	timeLeft := time.Until(f.deadline)
-	if len(f.candidates) == 0 || timeLeft < minTimeLeft {
+	if len(f.candidates) == 0 || timeLeft < minTimeLeft || f.caller.Left() {
 		return
 	}
 	f.last, f.candidates = f.candidates[0], f.candidates[1:]
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -36,8 +36,14 @@
 // handleOperator serves the operator's calls, and forwards what this node can't
 // settle. Each is settled within its caller's timeout or not at all: a caller
 // that got no answer goes on to another node, and may have sent other orders by
-// the time that this one could answer.
-func (n *Node) handleOperator(_ context.Context, c *app.RequestContext) {
+// the time that this one could answer. For the same reason nothing is begun for
+// a caller that has left.
+func (n *Node) handleOperator(ctx context.Context, c *app.RequestContext) {
+	caller := transport.CallerFrom(ctx)
+	if caller.Left() {
+		n.WriteUnavailable(c, "the caller has left")
+		return
+	}
 	path, method := string(c.Request.URI().PathOriginal()), string(c.Request.Header.Method())
 	if n.control != nil && method != "GET" {
 		end, ok := n.control.BeginChange()
@@ -65,7 +71,7 @@
 	}
 	switch {
 	case n.control == nil || !n.control.HasState():
-		n.forward(c, path, deadline)
+		n.forward(c, caller, path, deadline)
 	case path == nodeapi.PathConfiguration:
 		n.control.HandleConfiguration(c, deadline)
 	case path == nodeapi.PathPurge:
