--- a/internal/node/cache_cluster_test.go
+++ b/internal/node/cache_cluster_test.go
@@ -22,8 +22,15 @@
 }
 
 func startCacheTest(t *testing.T) *cacheTest {
+	t.Helper()
+	return startCacheTestTolerating(t, 0)
+}
+
+// startCacheTestTolerating is startCacheTest where so many disks may be lost.
+func startCacheTestTolerating(t *testing.T, losses int) *cacheTest {
 	t.Helper()
 	c := &cacheTest{Cluster: testcluster.New(t)}
+	c.ToleratedLosses = losses
 	c.origin = c.AddEndpoint("origin", "origin-a")
 	c.origin.ServeObjects(1)
 	c.AddEndpoint("s1", "s1-a")
--- a/internal/node/disk_loss_cluster_test.go
+++ b/internal/node/disk_loss_cluster_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"swiftswitch/internal/nodeapi"
 	"swiftswitch/internal/testcluster"
 )
 
@@ -87,3 +88,47 @@
 		t.Fatal("a draining went unnoticed")
 	}
 }
+
+// A disk is lost right after an acknowledgement and every other machine goes
+// dark at the same moment, the fronts and cache nodes too: what was acknowledged
+// is read back at every node, and requests are served again.
+func TestEveryMachineDarkWithADiskLost(t *testing.T) {
+	for lost := 1; lost <= 3; lost++ {
+		t.Run(fmt.Sprint("disk of node ", lost), func(t *testing.T) {
+			c := startCacheTestTolerating(t, 1)
+			if !c.serves(11, "/c/x", "/c/x version 1") {
+				t.Fatal("the object is not served")
+			}
+			c.origin.ServeObjects(2)
+			if status := c.post(lost, nodeapi.PathPurge, `{"Tag":"all"}`); status != 200 {
+				t.Fatal(status)
+			}
+			if status, _ := c.PutConfiguration(lost, "PUT", "3", testcluster.ConfigurationBody(4, "s1")); status != 200 {
+				t.Fatal(status)
+			}
+			machines := []int{1, 2, 3, 11, 12, 21, 22}
+			for _, n := range machines {
+				c.Kill(fmt.Sprint(n))
+			}
+			c.ReplaceDisk(lost)
+			for _, n := range machines {
+				c.StartNode(n, false, 1, 2, 3)
+			}
+			for _, n := range machines {
+				c.Eventually(fmt.Sprint("node ", n, " reads back what was acknowledged"), func() bool {
+					status, body := c.PutConfiguration(n, "GET", "", "")
+					if status == 200 && body != testcluster.ConfigurationBody(4, "s1") {
+						t.Fatalf("node %d reads %.20s", n, body)
+					}
+					return status == 200
+				})
+			}
+			for _, n := range []int{11, 12} {
+				c.Eventually("objects and shards are served", func() bool {
+					response, _, _ := c.Request(n, "GET", "/g/x", "")
+					return response.StatusCode == 200 && c.serves(n, "/c/x", "/c/x version 2")
+				})
+			}
+		})
+	}
+}
