--- a/internal/frontend/relay.go
+++ b/internal/frontend/relay.go
@@ -21,10 +21,10 @@
 	minRelayedShards = 2
 	// relayTimeoutFactor, a multiple of the wait asked for, bounds a relay call.
 	relayTimeoutFactor = 3
-	// relayedAttemptGrace is how much longer than the asking front the endpoints
-	// of a relayed request have: less than searchers may stay at work for a
-	// client that has left.
-	relayedAttemptGrace = 400 * time.Millisecond
+	// minRelayedAttemptTime is for how long endpoints may work on a relayed
+	// request that the asking front does not wait for any more: less than they
+	// may for a client that left right after it had asked.
+	minRelayedAttemptTime = 400 * time.Millisecond
 )
 
 // SetRelays lets scattered requests be relayed by fronts of other zones.
@@ -124,7 +124,7 @@
 
 // relayDeadlines returns deadlines that end the gathering when the asking front
 // needs the answer, which may be before the client's time is over. The endpoints
-// get little longer: once the answer is written, nothing tells this node that
+// get little longer: once that answer is written, nothing tells this node that
 // the client has left.
 func relayDeadlines(start time.Time, route *routing.Route, message *relay.Request) scatter.Deadlines {
 	left := time.Duration(message.RemainingMs) * time.Millisecond
@@ -134,7 +134,7 @@
 		TargetLatency: route.TargetLatency,
 		SoftDeadline:  start.Add(wait),
 		HardDeadline:  start.Add(wait),
-		ShardDeadline: start.Add(min(left, wait+relayedAttemptGrace)),
+		ShardDeadline: start.Add(min(left, max(wait, minRelayedAttemptTime))),
 	}
 }
 
--- a/internal/node/client_disconnect_cluster_test.go
+++ b/internal/node/client_disconnect_cluster_test.go
@@ -107,6 +107,8 @@
 				d.leave(1, "GET", 60*time.Millisecond, testcluster.LeaveClose, path)
 				d.leave(6, "GET", 60*time.Millisecond, testcluster.LeaveReset, path)
 				d.leave(1, "GET", 60*time.Millisecond, testcluster.LeaveShutdown, path)
+				d.leave(3, "GET", time.Millisecond, testcluster.LeaveClose, path)
+				d.leave(3, "GET", 200*time.Millisecond, testcluster.LeaveClose, path)
 				if report := d.judge(t); path[1] != 'c' && report.Lasting == 0 {
 					t.Error("no request would have lasted: the test shows nothing")
 				}
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -10,7 +10,7 @@
 // lateAttemptGrace is how long attempts may go on that are in flight when their
 // query was decided and its caller then left. Most end within it, which spares
 // their connections and shows how fast their endpoints are.
-const lateAttemptGrace = 250 * time.Millisecond
+const lateAttemptGrace = 100 * time.Millisecond
 
 // run is the execution of one query. The goroutine of [Gatherer.Gather] owns it
 // and the query, and keeps both on its stack: the query is an argument beside
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -10,7 +10,6 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
-	"golang.org/x/sys/unix"
 )
 
 // Conn is a client's connection that carries one request at a time. One
@@ -128,10 +127,7 @@
 	}
 	// Control and not Read, which fails once the last exchange's deadline has
 	// passed.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, recvErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable, unsolicited = recvErr == unix.EAGAIN, n > 0
-	})
-	return err == nil && reusable, unsolicited
+	state := socketEnded
+	err = raw.Control(func(fd uintptr) { state = peekSocket(int(fd)) })
+	return err == nil && state == socketOpen, state == socketReadable
 }
--- a/internal/transport/hangup_watcher.go
+++ b/internal/transport/hangup_watcher.go
@@ -10,7 +10,7 @@
 // hangupSweepInterval is how often the sockets of watched callers are looked
 // at. A caller's leaving is noticed after twice as long at the latest, and a
 // relayed request passes two listeners.
-const hangupSweepInterval = 50 * time.Millisecond
+const hangupSweepInterval = 150 * time.Millisecond
 
 // hangupEvents are the events of poll(2) for a peer that closed, reset or shut
 // down its side. POLLERR and POLLHUP need not be asked for.
@@ -66,8 +66,18 @@
 func (w *hangupWatcher) look(c *Caller) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	sockets := [1]unix.PollFd{{Fd: c.fd, Events: hangupEvents}}
-	if n, err := unix.Poll(sockets[:], 0); err == nil && n > 0 && hungUp(&sockets[0]) {
+	if c.fd < 0 {
+		return
+	}
+	state := peekSocket(int(c.fd))
+	if state == socketReadable {
+		// The end of the stream may follow behind what the caller pipelined.
+		sockets := []unix.PollFd{{Fd: c.fd, Events: hangupEvents}}
+		if n, err := unix.Poll(sockets, 0); err == nil && n > 0 && hungUp(&sockets[0]) {
+			state = socketEnded
+		}
+	}
+	if state == socketEnded {
 		c.cancel()
 	}
 }
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -38,3 +38,29 @@
 func setTCPUserTimeout(fd uintptr, timeout time.Duration) {
 	_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout/time.Millisecond))
 }
+
+// socketState is what a connected socket shows to a reader.
+type socketState int
+
+const (
+	// socketOpen: nothing to read, and the peer may still send.
+	socketOpen socketState = iota
+	// socketReadable: there are bytes to read.
+	socketReadable
+	// socketEnded: the peer has closed or reset the connection, or shut down its
+	// sending side, and there is nothing to read before that.
+	socketEnded
+)
+
+// peekSocket returns the state of a socket without reading from it or blocking.
+func peekSocket(fd int) socketState {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return socketOpen
+	case n > 0:
+		return socketReadable
+	}
+	return socketEnded
+}
