--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -22,44 +22,44 @@
 	Version int64 `json:"Version"`
 	// DurableSlot is the last decided slot on disk. BehindBy counts the slots
 	// that control nodes heard lately know beyond Slot.
-	DurableSlot int64 `json:"Kept"`
+	DurableSlot int64 `json:"DurableSlot"`
 	BehindBy    int64 `json:"BehindBy,omitempty"`
 	// Incarnation numbers the runs with this identity. Promised is the ballot
 	// below which this acceptor rejects, Accepted that of the value that it
 	// accepted for the open slot.
-	Incarnation int64  `json:"Life"`
+	Incarnation int64  `json:"Incarnation"`
 	Promised    string `json:"Promised,omitempty"`
 	Accepted    string `json:"Accepted,omitempty"`
 	// Voters are the voters as ID@IP.
 	Voters  []string `json:"Voters"`
-	IsVoter bool     `json:"Votes"`
+	IsVoter bool     `json:"IsVoter"`
 	// VotersSlot is the slot that decided the voters.
 	VotersSlot int64 `json:"VotersSlot"`
 	// MajorityAgeMs is how long ago a majority of the voters, this node
 	// included, was last heard. Isolated reports that it is too long for this
 	// node to have anything decided.
 	MajorityAgeMs int64 `json:"MajorityAgeMs"`
-	Isolated      bool  `json:"Lone,omitempty"`
+	Isolated      bool  `json:"Isolated,omitempty"`
 	// RememberedChanges counts the applied changes that are recognized when
 	// they are sent again, AppliedChanges those that were ever applied.
-	RememberedChanges int   `json:"Resends"`
-	AppliedChanges    int64 `json:"Changes"`
+	RememberedChanges int   `json:"RememberedChanges"`
+	AppliedChanges    int64 `json:"AppliedChanges"`
 	// LeaseEpoch and LeaseHolder are those of the newest lease of the poller
 	// role that the node knows. HoldsLease reports that it holds the lease.
-	LeaseEpoch  int64  `json:"Epoch"`
-	LeaseHolder string `json:"Holder"`
-	HoldsLease  bool   `json:"Polling"`
+	LeaseEpoch  int64  `json:"LeaseEpoch"`
+	LeaseHolder string `json:"LeaseHolder"`
+	HoldsLease  bool   `json:"HoldsLease"`
 	// LeaseAgeMs is how long ago the holder asked for the lease in force.
 	LeaseAgeMs int64 `json:"LeaseAgeMs,omitempty"`
 	// TableStamp orders the endpoint table, which lists so many Endpoints.
-	TableStamp endpoints.Stamp `json:"Table"`
-	Endpoints  int             `json:"Searchers"`
+	TableStamp endpoints.Stamp `json:"TableStamp"`
+	Endpoints  int             `json:"Endpoints"`
 	// FrontSlots is the last decided slot that each watcher holds, by its name.
-	FrontSlots map[string]int64 `json:"Fronts"`
+	FrontSlots map[string]int64 `json:"FrontSlots"`
 	// PurgeSeq is the number of the last purge.
-	PurgeSeq int64 `json:"Purge,omitempty"`
+	PurgeSeq int64 `json:"PurgeSeq,omitempty"`
 	// CacheNodes are the cache nodes as name@IP.
-	CacheNodes []string `json:"Larders,omitempty"`
+	CacheNodes []string `json:"CacheNodes,omitempty"`
 	// Rollouts are the services' last orders, the one that changed last first.
 	Rollouts []RolloutStatus `json:"Rollouts,omitempty"`
 }
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -16,26 +16,26 @@
 	Current   int64 `json:"Current"`
 	Next      int64 `json:"Next,omitempty"`
 	// TableStamp orders the endpoint table held, Endpoints counts its entries.
-	TableStamp endpoints.Stamp `json:"Table"`
-	Endpoints  int             `json:"Searchers"`
+	TableStamp endpoints.Stamp `json:"TableStamp"`
+	Endpoints  int             `json:"Endpoints"`
 	// FrontCount is the number of fronts in the cluster.
-	FrontCount  int            `json:"Fronts"`
+	FrontCount  int            `json:"FrontCount"`
 	Connections upstream.Stats `json:"Connections"`
 	// InFlight counts the requests under way, Relayed those that this front
 	// sent to shards for another front.
-	InFlight int64 `json:"Busy"`
-	Relayed  int64 `json:"Helped"`
+	InFlight int64 `json:"InFlight"`
+	Relayed  int64 `json:"Relayed"`
 	// ShardHolders names, by shard, the endpoints that hold it.
-	ShardHolders map[string][]string `json:"Slots"`
+	ShardHolders map[string][]string `json:"ShardHolders"`
 	// CachedObjects and CachedBytes are what the node's cache holds, KnownPurge
 	// is the number of the last purge known.
-	CachedObjects int   `json:"Copies"`
-	CachedBytes   int   `json:"CopyBytes"`
-	KnownPurge    int64 `json:"Purge"`
+	CachedObjects int   `json:"CachedObjects"`
+	CachedBytes   int   `json:"CachedBytes"`
+	KnownPurge    int64 `json:"KnownPurge"`
 	// Fetches counts the fetches of objects, QuotaShare is this node's part of
 	// the services' rate limits.
-	Fetches    int64   `json:"Fetched"`
-	QuotaShare float64 `json:"Part"`
+	Fetches    int64   `json:"Fetches"`
+	QuotaShare float64 `json:"QuotaShare"`
 }
 
 // Status returns the state of all controllers.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -17,10 +17,10 @@
 	Node     string              `json:"Node"`
 	Zone     string              `json:"Zone"`
 	UpMs     int64               `json:"UpMs"`
-	Draining bool                `json:"Leaving"`
+	Draining bool                `json:"Draining"`
 	View     []peersampling.Node `json:"View"`
-	Control  *control.Status     `json:"Hut,omitempty"`
-	Front    *front.Status       `json:"Trail,omitempty"`
+	Control  *control.Status     `json:"Control,omitempty"`
+	Front    *front.Status       `json:"Front,omitempty"`
 }
 
 // Status returns the node's status of this moment.
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -6,12 +6,12 @@
 type Stats struct {
 	// OpenConnections counts connections, and attempts that may be opening one;
 	// MaxPerEndpoint is the greatest number of these to one endpoint.
-	OpenConnections int `json:"Open"`
-	MaxPerEndpoint  int `json:"Most"`
+	OpenConnections int `json:"OpenConnections"`
+	MaxPerEndpoint  int `json:"MaxPerEndpoint"`
 	// Unhealthy counts the endpoints that don't answer this node,
 	// ReportedUnreachable those that other nodes report.
-	Unhealthy           int `json:"Silent"`
-	ReportedUnreachable int `json:"Told"`
+	Unhealthy           int `json:"Unhealthy"`
+	ReportedUnreachable int `json:"ReportedUnreachable"`
 }
 
 // Stats returns a summary of the pool.
