--- a/internal/node/client_disconnect_cluster_test.go
+++ b/internal/node/client_disconnect_cluster_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"swiftswitch/internal/node"
 	"swiftswitch/internal/nodeapi"
 	"swiftswitch/internal/testcluster"
 	"swiftswitch/internal/transport"
@@ -26,6 +27,8 @@
 type disconnectTest struct {
 	*testcluster.Cluster
 	endpoints map[string]*testcluster.Endpoint
+	// front is the number of the front that clients of leave ask.
+	front int
 
 	mu         sync.Mutex
 	departures []testcluster.Departure
@@ -37,7 +40,7 @@
 func startDisconnectTest(t *testing.T) *disconnectTest {
 	t.Helper()
 	c, endpoints := testcluster.StartDefault(t)
-	d := &disconnectTest{Cluster: c, endpoints: endpoints}
+	d := &disconnectTest{Cluster: c, endpoints: endpoints, front: 11}
 	addEndpoints(c, endpoints, "f1-far", "f2-far", "origin-a")
 	endpoints["origin-a"].ServeObjects(1)
 	c.StartNode(21, true, 1, 2, 3)
@@ -63,11 +66,24 @@
 func (d *disconnectTest) leave(clients int, method string, after time.Duration, mode testcluster.LeaveMode, paths ...string) {
 	var leaving sync.WaitGroup
 	for range clients {
-		leaving.Go(func() { d.leaveOnce(11, method, after, mode, paths...) })
+		leaving.Go(func() { d.leaveOnce(d.front, method, after, mode, paths...) })
 	}
 	leaving.Wait()
 }
 
+// leaveDuringDrain has clients leave a front that drains.
+func (d *disconnectTest) leaveDuringDrain(number int, front *node.Node) {
+	delete(d.Nodes, fmt.Sprint(number))
+	d.front = number
+	defer func() { d.front = 11 }()
+	var ending sync.WaitGroup
+	ending.Go(func() { d.leave(4, "GET", 150*time.Millisecond, testcluster.LeaveClose, "/p/x") })
+	ending.Go(func() { d.leave(4, "GET", 150*time.Millisecond, testcluster.LeaveClose, "/g/x") })
+	time.Sleep(50 * time.Millisecond)
+	ending.Go(front.Drain)
+	ending.Wait()
+}
+
 func (d *disconnectTest) leaveOnce(front int, method string, after time.Duration, mode testcluster.LeaveMode, paths ...string) {
 	departure, err := d.AskAndLeave(front, method, after, mode, paths...)
 	if err != nil {
@@ -127,6 +143,21 @@
 		d.leave(4, "POST", 60*time.Millisecond, testcluster.LeaveClose, "/u/1")
 		d.judge(t)
 	})
+	t.Run("while its front drains", func(t *testing.T) {
+		for number, mode := range map[int]testcluster.Mode{13: testcluster.ModeHang, 14: testcluster.ModeFailLate} {
+			d.setMode(testcluster.ModeNormal)
+			front := d.StartNode(number, false, 1, 2, 3)
+			d.Eventually("the front serves", func() bool {
+				response, _, _ := d.Request(number, "GET", "/g/x", "")
+				return response.StatusCode == 200
+			})
+			d.setMode(mode)
+			d.leaveDuringDrain(number, front)
+			if report := d.judge(t); report.Lasting == 0 {
+				t.Error("no request would have lasted: the test shows nothing")
+			}
+		}
+	})
 	d.setMode(testcluster.ModeNormal)
 	for _, path := range []string{"/p/x", "/g/x", "/c/x", "/u/x"} {
 		d.Eventually("others are served: "+path, func() bool {
