--- a/internal/frontend/relay.go
+++ b/internal/frontend/relay.go
@@ -66,8 +66,11 @@
 		}
 		var response relay.Response
 		err := h.callRelay(ctx, front.IP, message, &response, min(left, relayTimeoutFactor*wait))
-		// That the call was canceled says nothing about the front.
-		h.relays.Done(front.IP, err == nil || ctx.Err() != nil, time.Now())
+		if ctx.Err() != nil {
+			h.relays.Cancel(front.IP)
+		} else {
+			h.relays.Done(front.IP, err == nil, time.Now())
+		}
 		if err != nil || len(response.Stamps) != len(shards) || len(response.Records)%scatter.RecordSize != 0 {
 			return make([]string, len(shards)), nil
 		}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -50,7 +50,7 @@
 }
 
 // Pick returns the less busy of two random fronts of a zone, or nil where all
-// are ejected. Done must follow.
+// are ejected. Done or Cancel must follow.
 func (b *Balancer) Pick(zone string, now time.Time) *Front {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -77,10 +77,7 @@
 func (b *Balancer) Done(ip string, ok bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.inFlight[ip]--
-	if b.inFlight[ip] <= 0 {
-		delete(b.inFlight, ip)
-	}
+	b.endCall(ip)
 	if ok {
 		delete(b.failures, ip)
 		return
@@ -92,6 +89,22 @@
 	}
 }
 
+// Cancel records that a call to a node was broken off by this one. That says
+// nothing about the node: its failures in a row neither grow nor end.
+func (b *Balancer) Cancel(ip string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.endCall(ip)
+}
+
+// endCall counts a call to a node as ended. The caller holds b.mu.
+func (b *Balancer) endCall(ip string) {
+	b.inFlight[ip]--
+	if b.inFlight[ip] <= 0 {
+		delete(b.inFlight, ip)
+	}
+}
+
 // EjectionRank returns 1 for a node that is ejected and 0 for another, to sort
 // nodes by.
 func (b *Balancer) EjectionRank(ip string, now time.Time) int {
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -96,3 +96,28 @@
 		t.Fatal("ejected after one failure since the last ejection")
 	}
 }
+
+// A call that was broken off says nothing about its front: it is no failure, and
+// does not make up for one.
+func TestCanceledCallIsNeutral(t *testing.T) {
+	now := time.Now()
+	b := newTestBalancer(t, "x")
+	cancelCalls := func() {
+		for range maxConsecutiveFailures + 1 {
+			b.Cancel(b.Pick("west", now).IP)
+		}
+	}
+	cancelCalls()
+	if len(b.inFlight) != 0 {
+		t.Errorf("calls in flight: %v", b.inFlight)
+	}
+	b.Done(b.Pick("west", now).IP, false, now)
+	cancelCalls()
+	if b.Pick("west", now) == nil {
+		t.Fatal("ejected after one failure and some canceled calls")
+	}
+	b.Done("10.0.0.3", false, now)
+	if front := b.Pick("west", now); front != nil {
+		t.Errorf("picked %v after two failures with canceled calls between them", front)
+	}
+}
