Sight: metrics of each role, and what a node is told and does not read

Cause: no log line and no figure told the hypotheses of the incident apart: nothing counted requests by what was decided for them, nothing named the fields of a configuration or the contracts of the settings that the program does not know.

Change: internal/metrics, by prometheus/client_golang; every role tells its metrics at port 9464 (--metrics-port; metrics in the deploy file): requests by kind of route and class of status, rejections by reason, requests that bear a key, attempts by outcome and by why, ejections, relay calls, and gauges from the status. Counting is one atomic addition. config.UnknownFields walks a configuration by its descriptor; E3024 names what it finds once a version at control nodes and fronts, as do status, metrics, the acknowledgement and 'check configuration' (exit 2). E1010 names contracts of the settings that no code stands for. No logic of requests changed.

--- a/cmd/swiftswitch/check.go
+++ b/cmd/swiftswitch/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"swiftswitch/internal/config"
 
@@ -32,6 +33,9 @@
 	if err != nil {
 		return &exitError{exitInvalid, err}
 	}
+	if contracts := settings.UnsupportedContracts(); len(contracts) > 0 {
+		return &exitError{exitInvalid, fmt.Errorf("this version does not keep the contracts %s", strings.Join(contracts, ", "))}
+	}
 	fmt.Printf("settings of %s are good\n", settings.NodeName)
 	return nil
 }
@@ -45,6 +49,9 @@
 	if err != nil {
 		return &exitError{exitInvalid, err}
 	}
+	if unknown := config.UnknownFields(raw); len(unknown) > 0 {
+		return &exitError{exitInvalid, fmt.Errorf("this version does not read %s: what these fields ask for would not be done", strings.Join(unknown, ", "))}
+	}
 	fmt.Printf("configuration %d is good: %d routes, %d services\n", configuration.Version, len(configuration.Routes), len(configuration.Services))
 	return nil
 }
--- a/cmd/swiftswitch/config.go
+++ b/cmd/swiftswitch/config.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 
 	"swiftswitch/internal/config"
 	"swiftswitch/internal/nodeapi"
@@ -51,6 +53,19 @@
 	}
 }
 
+// warnOfUnknownFields says on standard error which fields of an acknowledged
+// configuration the answering node does not read.
+func warnOfUnknownFields(answer []byte) error {
+	var acknowledgement nodeapi.ConfigurationAcknowledgement
+	if err := json.Unmarshal(answer, &acknowledgement); err != nil {
+		return fmt.Errorf("the acknowledgement can't be read: %w", err)
+	}
+	if len(acknowledgement.UnknownFields) > 0 {
+		_, _ = fmt.Fprintf(os.Stderr, "warning: the node does not read %s: what these fields ask for is not done\n", strings.Join(acknowledgement.UnknownFields, ", "))
+	}
+	return nil
+}
+
 // configChange is a way to change the configuration.
 type configChange struct {
 	use, short string
@@ -74,11 +89,12 @@
 				return &exitError{exitInvalid, fmt.Errorf("%s: %w", args[0], err)}
 			}
 			header := map[string]string{"If-Match": strconv.FormatInt(baseVersion, 10)}
-			if _, err := client.call(change.method, nodeapi.PathConfiguration, header, raw); err != nil {
+			answer, err := client.call(change.method, nodeapi.PathConfiguration, header, raw)
+			if err != nil {
 				return err
 			}
 			fmt.Println("acknowledged")
-			return nil
+			return warnOfUnknownFields(answer.Body)
 		},
 	}
 	command.Flags().Int64Var(&baseVersion, "if-match", 0, "the version that this one builds on (0: the first)")
--- a/cmd/swiftswitch/run_flags.go
+++ b/cmd/swiftswitch/run_flags.go
@@ -15,6 +15,7 @@
 	flags.StringVar(&r.settingsPath, "settings", config.SettingsPath(), "settings file (YAML)")
 	flags.StringVar(&r.dataDirectory, "data", "", "data directory in place of the settings' DataDirectory")
 	flags.StringVar(&r.cpuProfile, "cpu-profile", "", "write a processor profile to this file at the end")
+	flags.IntVar(&r.options.MetricsPort, "metrics-port", r.options.MetricsPort, "port at which the node tells its metrics, under /metrics (0: none)")
 	flags.BoolVar(&r.debug, "debug", false, "log events of level debug too")
 }
 
--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -36,10 +34,8 @@
 	if err != nil {
 		return nil, err
 	}
-	var fields map[string]any
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.UseNumber()
-	if err := decoder.Decode(&fields); err != nil {
+	fields, err := decodeFields(raw)
+	if err != nil {
 		return nil, fmt.Errorf("not a configuration: %w", err)
 	}
 	if err := rejectQuotedNumbers(fields, c.ProtoReflect().Descriptor()); err != nil {
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -58,7 +58,10 @@
 		return
 	}
 	s.fronts.waitHold(s.State().Slot, min(s.acknowledgeTime(frontsWaitRatio), time.Until(deadline)/2))
-	transport.WriteJSON(c, http.StatusOK, map[string]int64{"Version": version})
+	transport.WriteJSON(c, http.StatusOK, nodeapi.ConfigurationAcknowledgement{
+		Version:       version,
+		UnknownFields: change.unknownFields(),
+	})
 }
 
 // getConfiguration answers with the newest configuration, as it was put.
@@ -141,6 +144,19 @@
 	return value, patch, nil
 }
 
+// unknownFields returns the paths of the fields that the change brings and that
+// this program does not read.
+func (c configurationChange) unknownFields() []string {
+	if !c.isPatch {
+		return config.UnknownFields([]byte(c.body))
+	}
+	patch, err := config.ParsePatch([]byte(c.body))
+	if err != nil {
+		return nil
+	}
+	return config.UnknownPatchFields(patch)
+}
+
 // changeConfiguration has a change decided and returns its version once enough
 // disks hold it.
 func (s *Server) changeConfiguration(change configurationChange, deadline time.Time) (version int64, err error) {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -62,6 +62,9 @@
 	pastBodies []records.Body
 	// versionLearnedAt is when this node learned the configuration in force.
 	versionLearnedAt time.Duration
+	// unknownFields are the fields of the configuration in force that this
+	// program does not read.
+	unknownFields []string
 }
 
 // replicaOwner is what a replica needs of its server.
@@ -131,6 +134,7 @@
 	}
 	if state.Version != old.Version {
 		r.versionLearnedAt = r.host.Now()
+		r.findUnknownFields(state)
 	}
 	r.owner.onStateLearned(old, state)
 	r.persistState()
--- a/internal/front/configuration_fetcher.go
+++ b/internal/front/configuration_fetcher.go
@@ -34,8 +34,16 @@
 	layouts  *layoutController
 	// busy guards the rest of fetch.
 	busy atomic.Bool
-	// newest is the newest configuration fetched, the base of the next delta.
-	newest *config.Configuration
+	// newest is the newest configuration fetched, the base of the next delta;
+	// nil before the first.
+	newest *fetchedConfiguration
+}
+
+// fetchedConfiguration is a configuration, and the paths of its fields that this
+// program does not read.
+type fetchedConfiguration struct {
+	configuration *config.Configuration
+	unknownFields []string
 }
 
 // fetch brings the newest configuration from a control node and hands it to the
@@ -48,7 +56,7 @@
 	start := time.Now()
 	request := nodeapi.VersionRequest{}
 	if f.newest != nil {
-		request.Version = f.newest.Version
+		request.Version = f.newest.configuration.Version
 	}
 	timeout := config.Milliseconds(f.host.Settings().Bounds.ConfigEffectMs, configurationTimeoutRatio)
 	reply, err := f.host.Client.Do(f.host.Settings().InternalAddress(ip), http.MethodPost, nodeapi.PathVersion, nil, codec.MustEncode("version request", request), timeout)
@@ -59,7 +67,7 @@
 	if json.Unmarshal([]byte(reply.Header(nodeapi.HeaderVersion)), &response) != nil || response.Version <= f.progress.load().version {
 		return
 	}
-	configuration, err := f.decode(&response, reply.Body)
+	fetched, err := f.decode(&response, reply.Body)
 	if errors.Is(err, errUnknownBase) {
 		return
 	}
@@ -67,13 +75,13 @@
 		events.Log(events.MessageRejected, "from", ip, "version", response.Version, "err", err)
 		return
 	}
-	f.newest = configuration
-	f.loop.Call(func() { f.layouts.setConfiguration(response, configuration, time.Since(start)) })
+	f.newest = fetched
+	f.loop.Call(func() { f.layouts.setConfiguration(response, fetched, time.Since(start)) })
 }
 
 // decode reads a configuration, and applies it to the one held if it is a
 // delta. Large ones take a while, so this does not run on the loop.
-func (f *configurationFetcher) decode(response *nodeapi.VersionResponse, packed []byte) (*config.Configuration, error) {
+func (f *configurationFetcher) decode(response *nodeapi.VersionResponse, packed []byte) (*fetchedConfiguration, error) {
 	raw, err := codec.Gunzip(packed, f.host.MaxMessageBytes())
 	if err != nil {
 		return nil, err
@@ -82,14 +90,16 @@
 	if err != nil {
 		return nil, err
 	}
+	fetched := &fetchedConfiguration{configuration, config.UnknownFields(raw)}
 	if response.BaseVersion > 0 {
-		if f.newest == nil || f.newest.Version != response.BaseVersion {
+		if f.newest == nil || f.newest.configuration.Version != response.BaseVersion {
 			return nil, errUnknownBase
 		}
-		configuration = f.newest.ApplyDelta(configuration, response.Removed)
+		fetched.configuration = f.newest.configuration.ApplyDelta(configuration, response.Removed)
+		fetched.unknownFields = config.UnknownFieldsAfterDelta(f.newest.unknownFields, fetched.unknownFields)
 	}
-	if configuration.Version != response.Version {
-		return nil, fmt.Errorf("%w: %d", errVersionMismatch, configuration.Version)
+	if fetched.configuration.Version != response.Version {
+		return nil, fmt.Errorf("%w: %d", errVersionMismatch, fetched.configuration.Version)
 	}
-	return configuration, nil
+	return fetched, nil
 }
--- a/internal/front/configuration_fetcher_test.go
+++ b/internal/front/configuration_fetcher_test.go
@@ -13,9 +13,9 @@
 func TestDecodeConfiguration(t *testing.T) {
 	whole := codec.Gzip([]byte(`{"Version":7,"Services":[{"Name":"a"}]}`))
 	delta := codec.Gzip([]byte(`{"Version":8,"Services":[{"Name":"b"}]}`))
-	held := &config.Configuration{Version: 7, Services: []*config.Service{{Name: "a"}}}
+	held := &fetchedConfiguration{configuration: &config.Configuration{Version: 7, Services: []*config.Service{{Name: "a"}}}}
 	for name, c := range map[string]struct {
-		newest   *config.Configuration
+		newest   *fetchedConfiguration
 		response nodeapi.VersionResponse
 		packed   []byte
 		services int
@@ -33,12 +33,12 @@
 			if !errors.Is(err, c.err) {
 				t.Fatalf("error %v, want %v", err, c.err)
 			}
-			if err == nil && (got.Version != c.response.Version || len(got.Services) != c.services) {
-				t.Errorf("version %d with %d services", got.Version, len(got.Services))
+			if err == nil && (got.configuration.Version != c.response.Version || len(got.configuration.Services) != c.services) {
+				t.Errorf("version %d with %d services", got.configuration.Version, len(got.configuration.Services))
 			}
 		})
 	}
-	if len(held.Services) != 1 {
+	if len(held.configuration.Services) != 1 {
 		t.Error("a delta changed the configuration held")
 	}
 	f := &configurationFetcher{host: newTestHost(t, 0)}
--- a/internal/front/construct.go
+++ b/internal/front/construct.go
@@ -107,6 +107,7 @@
 		Workers:     workers,
 		Now:         s.host.Now,
 		HedgeAfter:  s.options.HedgeAfter,
+		Metrics:     scatter.NewMetrics(s.host.Metrics),
 	}
 	s.frontend = frontend.New(frontend.Options{
 		PartialResponseAfter: s.options.PartialResponseAfter,
@@ -118,6 +119,7 @@
 		OverloadFactor:       s.options.OverloadFactor,
 		Clock:                s.majority.clock,
 		MajorityTimeout:      s.host.MajorityTimeout(),
+		Metrics:              s.host.Metrics,
 	}, gatherer)
 	if s.options.Relay {
 		s.relays = relay.NewBalancer(s.host.Heartbeats(relayEjectionHeartbeats))
@@ -198,6 +200,7 @@
 		ConsecutiveFailures: consecutiveFailures,
 		BaseEjectionTime:    inTouch(baseEjectionRatio),
 		DecayTime:           inTouch(latencyDecayRatio),
+		Metrics:             h.Metrics,
 	})
 }
 
--- a/internal/front/layout_controller.go
+++ b/internal/front/layout_controller.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,13 @@
 	table *endpoints.Table
 	// trafficSplits, by service, are those of the rollout follower.
 	trafficSplits map[string]*rollout.TrafficSplit
+	// currentVersion is the version of the last snapshot published, in force
+	// since currentSince.
+	currentVersion int64
+	currentSince   time.Duration
+	// unknownFields are the fields of the newest configuration that this program
+	// does not read.
+	unknownFields []string
 
 	// ready is set with the first complete snapshot, and stays so.
 	ready atomic.Bool
@@ -74,11 +82,16 @@
 
 // setConfiguration takes a configuration, which took fetchTime to arrive. It
 // never goes back to an older version. It runs on loop.
-func (c *layoutController) setConfiguration(response nodeapi.VersionResponse, configuration *config.Configuration, fetchTime time.Duration) {
+func (c *layoutController) setConfiguration(response nodeapi.VersionResponse, fetched *fetchedConfiguration, fetchTime time.Duration) {
 	version := response.Version
 	if version <= c.layouts.LastBuilt {
 		return
 	}
+	configuration := fetched.configuration
+	c.unknownFields = fetched.unknownFields
+	if len(c.unknownFields) > 0 {
+		events.Log(events.ConfigFieldsUnknown, "version", version, "fields", strings.Join(c.unknownFields, ","))
+	}
 	routes := routing.Compile(configuration, c.defaultLimits)
 	c.routeTables[version] = routes
 	age := time.Duration(response.AgeMs)*time.Millisecond + fetchTime
@@ -132,6 +145,9 @@
 		snapshot.Holders[shard] = c.layouts.HoldersByVersion(shard)
 	}
 	c.frontend.SetSnapshot(snapshot)
+	if routes.Version != c.currentVersion {
+		c.currentVersion, c.currentSince = routes.Version, c.host.Now()
+	}
 	if !c.host.Draining.Load() && c.ready.CompareAndSwap(false, true) {
 		events.Log(events.FrontReady, "version", routes.Version, "searchers", len(c.table.Endpoints))
 	}
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -15,6 +15,11 @@
 	LastBuilt int64 `json:"LastBuilt"`
 	Current   int64 `json:"Current"`
 	Next      int64 `json:"Next,omitempty"`
+	// CurrentAgeMs is how long ago Current came into force at this node, in
+	// milliseconds. UnknownFields are the paths of the fields of LastBuilt that
+	// this program does not read: what they ask for is not done.
+	CurrentAgeMs  int64    `json:"CurrentAgeMs,omitempty"`
+	UnknownFields []string `json:"UnknownFields,omitempty"`
 	// TableStamp orders the endpoint table held, Endpoints counts its entries.
 	TableStamp endpoints.Stamp `json:"TableStamp"`
 	Endpoints  int             `json:"Endpoints"`
@@ -66,6 +71,8 @@
 func (c *layoutController) addStatus(status *Status) {
 	status.LastBuilt = c.layouts.LastBuilt
 	status.Current = c.layouts.Current.Version
+	status.CurrentAgeMs = (c.host.Now() - c.currentSince).Milliseconds()
+	status.UnknownFields = c.unknownFields
 	if c.layouts.Next != nil {
 		status.Next = c.layouts.Next.Version
 	}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"swiftswitch/internal/metrics"
 	"swiftswitch/internal/relay"
 	"swiftswitch/internal/routing"
 	"swiftswitch/internal/scatter"
@@ -42,6 +43,8 @@
 	// node sends no requests to versions that are not settled.
 	Clock           func() (now, silence time.Duration)
 	MajorityTimeout time.Duration
+	// Metrics is where the handler's metrics are shown, if anywhere.
+	Metrics *metrics.Registry
 }
 
 // Handler handles clients' requests. Its methods may be called from any
@@ -51,6 +54,7 @@
 	options  Options
 	gatherer *scatter.Gatherer
 	filters  []filter
+	metrics  handlerMetrics
 
 	snapshot atomic.Pointer[Snapshot]
 	// hasSnapshot is closed with the first snapshot.
@@ -80,6 +84,7 @@
 	h := &Handler{
 		options:       options,
 		gatherer:      gatherer,
+		metrics:       newHandlerMetrics(options.Metrics),
 		hasSnapshot:   make(chan struct{}),
 		cancelWaiting: make(chan struct{}),
 	}
@@ -138,6 +143,7 @@
 		}
 	}
 	h.finish(e)
+	h.metrics.countRequest(e)
 }
 
 // finish sets what ends the exchange on its connection.
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -33,6 +33,8 @@
 // rejections tell how each reason is answered. 503 promises that no endpoint
 // processed the request; 502 and 504 do not. A 503 carries Retry-After.
 var rejections = [...]struct {
+	// label names the reason in the metrics.
+	label   string
 	status  int
 	message string
 	// closesConnection: what follows on the connection can't be trusted, or
@@ -41,20 +43,20 @@
 	// event is logged, if there is one.
 	event events.Event
 }{
-	rejectNoConfiguration:    {status: http.StatusServiceUnavailable, message: "no configuration yet"},
-	rejectHeadersTooLarge:    {status: http.StatusRequestHeaderFieldsTooLarge, message: "headers too large", closesConnection: true},
-	rejectBodyTooLarge:       {status: http.StatusRequestEntityTooLarge, message: "body too large", closesConnection: true},
-	rejectMalformed:          {status: http.StatusBadRequest, message: "malformed request", closesConnection: true, event: events.RequestRejected},
-	rejectNoRoute:            {status: http.StatusNotFound, message: "no route"},
-	rejectNoTimeLeft:         {status: http.StatusServiceUnavailable, message: "no time left"},
-	rejectOverloaded:         {status: http.StatusServiceUnavailable, message: "all searchers are busy"},
-	rejectNoEndpoint:         {status: http.StatusServiceUnavailable, message: "no searcher can take this now"},
-	rejectTimedOut:           {status: http.StatusGatewayTimeout, message: "no answer in time"},
-	rejectNoCompleteResponse: {status: http.StatusBadGateway, message: "no whole answer"},
-	rejectFetchTimedOut:      {status: http.StatusServiceUnavailable, message: "no answer in time"},
-	rejectFetchUnavailable:   {status: http.StatusServiceUnavailable, message: "the object could not be fetched"},
-	rejectFetchFailed:        {status: http.StatusBadGateway, message: "the object could not be fetched"},
-	rejectDraining:           {status: http.StatusServiceUnavailable, message: "this node leaves"},
+	rejectNoConfiguration:    {label: "no_configuration", status: http.StatusServiceUnavailable, message: "no configuration yet"},
+	rejectHeadersTooLarge:    {label: "headers_too_large", status: http.StatusRequestHeaderFieldsTooLarge, message: "headers too large", closesConnection: true},
+	rejectBodyTooLarge:       {label: "body_too_large", status: http.StatusRequestEntityTooLarge, message: "body too large", closesConnection: true},
+	rejectMalformed:          {label: "malformed", status: http.StatusBadRequest, message: "malformed request", closesConnection: true, event: events.RequestRejected},
+	rejectNoRoute:            {label: "no_route", status: http.StatusNotFound, message: "no route"},
+	rejectNoTimeLeft:         {label: "no_time_left", status: http.StatusServiceUnavailable, message: "no time left"},
+	rejectOverloaded:         {label: "overloaded", status: http.StatusServiceUnavailable, message: "all searchers are busy"},
+	rejectNoEndpoint:         {label: "no_endpoint", status: http.StatusServiceUnavailable, message: "no searcher can take this now"},
+	rejectTimedOut:           {label: "timed_out", status: http.StatusGatewayTimeout, message: "no answer in time"},
+	rejectNoCompleteResponse: {label: "no_complete_response", status: http.StatusBadGateway, message: "no whole answer"},
+	rejectFetchTimedOut:      {label: "fetch_timed_out", status: http.StatusServiceUnavailable, message: "no answer in time"},
+	rejectFetchUnavailable:   {label: "fetch_unavailable", status: http.StatusServiceUnavailable, message: "the object could not be fetched"},
+	rejectFetchFailed:        {label: "fetch_failed", status: http.StatusBadGateway, message: "the object could not be fetched"},
+	rejectDraining:           {label: "draining", status: http.StatusServiceUnavailable, message: "this node leaves"},
 }
 
 // unknownRouteTarget stands for the latency target of a request whose route is
@@ -65,6 +67,7 @@
 // key/value pairs for the event.
 func (h *Handler) reject(e *exchange, reason rejection, details ...any) bool {
 	r := &rejections[reason]
+	h.metrics.rejections[reason].Inc()
 	if r.event != 0 {
 		events.Log(r.event, details...)
 	}
--- a/internal/frontend/relay.go
+++ b/internal/frontend/relay.go
@@ -66,6 +66,7 @@
 		}
 		var response relay.Response
 		err := h.callRelay(ctx, front.IP, message, &response, min(left, relayTimeoutFactor*wait))
+		h.metrics.countRelayCall(ctx.Err() != nil, err)
 		if ctx.Err() != nil {
 			h.relays.Cancel(front.IP)
 		} else {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -12,6 +12,7 @@
 
 	"swiftswitch/internal/commandloop"
 	"swiftswitch/internal/config"
+	"swiftswitch/internal/metrics"
 	"swiftswitch/internal/peersampling"
 	"swiftswitch/internal/transport"
 )
@@ -32,6 +33,8 @@
 	settings  atomic.Pointer[config.Settings]
 	startedAt time.Time
 	Options   Options
+	// Metrics holds the counters and gauges of the node.
+	Metrics *metrics.Registry
 	// Client calls other nodes.
 	Client *transport.Client
 	// Stopping is closed when the node ends. Every goroutine of its servers
@@ -51,7 +54,13 @@
 
 // New returns the host of a node with these settings and options.
 func New(settings *config.Settings, options Options) *Host {
-	h := &Host{startedAt: time.Now(), Stopping: make(chan struct{}), Options: options, ViewLoop: commandloop.New()}
+	h := &Host{
+		startedAt: time.Now(),
+		Options:   options,
+		Metrics:   metrics.NewRegistry(),
+		Stopping:  make(chan struct{}),
+		ViewLoop:  commandloop.New(),
+	}
 	h.settings.Store(settings)
 	h.Client = transport.NewClient(transport.ClientOptions{
 		MaxIdlePerNode: maxIdleConnections,
--- a/internal/host/options.go
+++ b/internal/host/options.go
@@ -8,10 +8,13 @@
 
 // Options are the project's defaults that an operator may change on the
 // command line. Each field but Role and Rollout has a flag of the same name in
-// kebab case. All numbers but MaxSlotHolders and SlotLeaseHeartbeats are ratios.
+// kebab case. All numbers but MetricsPort, MaxSlotHolders and SlotLeaseHeartbeats
+// are ratios.
 type Options struct {
 	// Role is what the node is started as.
 	Role Role
+	// MetricsPort is the port at which the node tells its metrics, 0 for none.
+	MetricsPort int
 
 	// FrontCacheRatio is the part of MemoryMb that a front's own cache may
 	// take, CacheNodeRatio the part that a cache node's may.
@@ -75,6 +78,9 @@
 	}
 }
 
+// maxPort is the greatest TCP port.
+const maxPort = 1<<16 - 1
+
 // optionRange is the range that an option's value must lie in, both ends
 // included.
 type optionRange struct {
@@ -110,6 +116,9 @@
 // Check returns an error that names the flag of the first option that is out
 // of its range, and the range.
 func (o Options) Check() error {
+	if o.MetricsPort < 0 || o.MetricsPort > maxPort {
+		return fmt.Errorf("--metrics-port is %d: it must be between 0 and %d", o.MetricsPort, maxPort)
+	}
 	if o.MaxSlotHolders < 1 {
 		return fmt.Errorf("--max-slot-holders is %d: it must be at least 1", o.MaxSlotHolders)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,8 @@
 	if n.front != nil {
 		n.front.Start()
 	}
+	n.serveMetrics()
+	n.logUnsupportedContracts()
 	go n.shuffleLoop()
 	go n.pauseLoop()
 	return nil
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -14,13 +14,17 @@
 // Status is what `swiftswitch status` shows. Control and Front are nil on a
 // node without that server.
 type Status struct {
-	Node     string              `json:"Node"`
-	Zone     string              `json:"Zone"`
-	UpMs     int64               `json:"UpMs"`
-	Draining bool                `json:"Draining"`
-	View     []peersampling.Node `json:"View"`
-	Control  *control.Status     `json:"Control,omitempty"`
-	Front    *front.Status       `json:"Front,omitempty"`
+	Node     string `json:"Node"`
+	Zone     string `json:"Zone"`
+	UpMs     int64  `json:"UpMs"`
+	Draining bool   `json:"Draining"`
+	// UnsupportedContracts are the parts of the service rules in the settings
+	// that this program does not keep.
+	UnsupportedContracts []string `json:"UnsupportedContracts,omitempty"`
+
+	View    []peersampling.Node `json:"View"`
+	Control *control.Status     `json:"Control,omitempty"`
+	Front   *front.Status       `json:"Front,omitempty"`
 }
 
 // Status returns the node's status of this moment.
@@ -30,6 +34,8 @@
 		Zone:     n.Settings().Zone,
 		UpMs:     n.Now().Milliseconds(),
 		Draining: n.Draining.Load(),
+
+		UnsupportedContracts: n.Settings().UnsupportedContracts(),
 	}
 	n.ViewLoop.Call(func() { status.View = n.View.Nodes() })
 	if n.control != nil {
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -25,6 +25,8 @@
 	// HedgeAfter is the part of the latency target after which an attempt is
 	// hedged, or the service's 90th percentile where that is later.
 	HedgeAfter float64
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Caller is who waits for the response to a query. *transport.Caller implements
--- a/internal/scatter/relay.go
+++ b/internal/scatter/relay.go
@@ -49,7 +49,7 @@
 		}
 	}
 	for _, f := range remote {
-		r.sendOrGiveUp(q, f.shard, f.pick)
+		r.sendOrGiveUp(q, f.shard, f.pick, attemptFirst)
 	}
 }
 
@@ -103,6 +103,7 @@
 			r.Upstream.CancelPick(f.pick.endpoint, f.pick.start)
 		}
 		q.OnSent(f.shard, endpoint)
+		r.Metrics.countAttempt(attemptRelayed)
 		q.ScheduleHedge(f.shard, hedgeAt)
 		s.relayed = true
 		group = append(group, f.shard)
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -52,7 +52,7 @@
 			remote = append(remote, remoteShard{i, p})
 			continue
 		}
-		r.sendOrGiveUp(q, i, p)
+		r.sendOrGiveUp(q, i, p, attemptFirst)
 	}
 	if len(remote) > 0 {
 		r.sendRemote(q, remote)
@@ -85,6 +85,7 @@
 
 // abandon ends what is done for a caller that has left.
 func (r *run) abandon(q *Query) {
+	r.Metrics.countAbandoned()
 	q.OnCallerLeft()
 	r.cancel()
 }
@@ -94,7 +95,7 @@
 func (r *run) hedge(q *Query, now, wake time.Time) time.Time {
 	due, next := q.DueHedges(now)
 	for _, i := range due {
-		r.retry(q, i, true)
+		r.retry(q, i, true, attemptHedge)
 	}
 	if !next.IsZero() && next.Before(wake) {
 		return next
@@ -107,7 +108,7 @@
 	if res.relayed != nil {
 		again, _ := q.OnRelayResult(res.relayed.shards, res.relayed.stamps, res.relayed.records)
 		for _, i := range again {
-			r.retry(q, i, true)
+			r.retry(q, i, true, attemptRetry)
 		}
 		return
 	}
@@ -116,7 +117,7 @@
 		res.attempt.Release()
 	}
 	if action == Retry {
-		r.retry(q, res.shard, res.attempt.Outcome == upstream.OutcomeUnprocessed)
+		r.retry(q, res.shard, res.attempt.Outcome == upstream.OutcomeUnprocessed, attemptRetry)
 	}
 }
 
@@ -124,7 +125,7 @@
 // budget grants it. Hedges, relayed shards that are missing and retries after
 // a full endpoint are spareOnly: they want an endpoint that is not full itself,
 // since under load they would only add to its queue.
-func (r *run) retry(q *Query, i int, spareOnly bool) {
+func (r *run) retry(q *Query, i int, spareOnly bool, kind attemptKind) {
 	if r.caller.Left() {
 		r.abandon(q)
 		q.GiveUp(i)
@@ -141,16 +142,17 @@
 		r.Upstream.CancelPick(p.endpoint, p.start)
 		p.endpoint = nil
 	}
-	r.sendOrGiveUp(q, i, p)
+	r.sendOrGiveUp(q, i, p, kind)
 }
 
 // sendOrGiveUp sends shard i to the endpoint of a pick, if there is one.
-func (r *run) sendOrGiveUp(q *Query, i int, p picked) {
+func (r *run) sendOrGiveUp(q *Query, i int, p picked, kind attemptKind) {
 	if p.endpoint == nil {
 		q.GiveUp(i)
 		return
 	}
 	q.OnSent(i, p.endpoint)
+	r.Metrics.countAttempt(kind)
 	ctx, pool, request, deadline, results := r.ctx, r.Upstream, r.request, r.deadlines.ShardDeadline, r.results
 	err := r.Workers.Submit(func() {
 		results <- result{shard: i, attempt: pool.Do(ctx, p.endpoint, request, p.start, deadline)}
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -37,6 +37,9 @@
 	// ToleratedLosses is how many machines may be lost at once. It must be set
 	// before nodes are started.
 	ToleratedLosses int
+	// MetricsPort is the port of the nodes' metrics, 0 for none. It must be set
+	// before nodes are started.
+	MetricsPort int
 	// Port is the nodes' port for other nodes.
 	Port int
 
@@ -100,6 +103,7 @@
 	c.T.Helper()
 	options := host.DefaultOptions()
 	options.Rollout.TrialAfter = trialAfter
+	options.MetricsPort = c.MetricsPort
 	if isCacheNode(n) {
 		options.Role = host.RoleCache
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -111,6 +111,7 @@
 func (p *Pool) Do(ctx context.Context, e *Endpoint, request *Request, start, deadline time.Time) Attempt {
 	attempt := p.exchange(ctx, e, request, deadline)
 	attempt.Endpoint = e
+	p.metrics.attempts[attempt.Outcome].Inc()
 	p.record(e, &attempt, start)
 	if attempt.MayHaveRun() && attempt.Outcome != OutcomeCanceled && !attempt.closedOnConnect {
 		p.OnAttempt(e, request, &attempt)
@@ -166,6 +167,7 @@
 	if conn = p.takeIdle(e, now, minIdle); conn != nil {
 		return conn, false, nil
 	}
+	p.metrics.dials.Inc()
 	conn, err = transport.Dial(e.Addr, min(deadline.Sub(now), p.options.DialTimeout), p.options.TCPUserTimeout)
 	return conn, true, err
 }
--- a/internal/upstream/ejection.go
+++ b/internal/upstream/ejection.go
@@ -109,6 +109,7 @@
 	if !now.Before(e.ejectedUntil) {
 		e.ejections = min(e.ejections+1, maxEjections)
 		e.ejectedUntil = now.Add(p.options.BaseEjectionTime << (e.ejections - 1))
+		p.metrics.ejections.Inc()
 		events.Log(events.EndpointEjected, "searcher", e.ID, "err", a.Err)
 	}
 	return becameUnhealthy
--- a/internal/upstream/options.go
+++ b/internal/upstream/options.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"swiftswitch/internal/metrics"
+)
 
 // Options configure a Pool.
 type Options struct {
@@ -42,6 +46,8 @@
 	// DecayTime is the time constant with which a latency estimate loses weight
 	// while no new responses come. Other estimates age in fractions of it.
 	DecayTime time.Duration
+	// Metrics is where the pool's metrics are shown, if anywhere.
+	Metrics *metrics.Registry
 }
 
 // Fractions of Options.DecayTime.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,7 @@
 	OnAttempt func(e *Endpoint, r *Request, a *Attempt)
 
 	options Options
+	metrics poolMetrics
 
 	// mu guards all fields below and the mutable fields of every Endpoint.
 	mu          sync.Mutex
@@ -59,6 +60,7 @@
 		OnUnreachable: func() {},
 		OnAttempt:     func(*Endpoint, *Request, *Attempt) {},
 		options:       options,
+		metrics:       newPoolMetrics(options.Metrics),
 		endpoints:     map[string]*Endpoint{},
 		services:      map[string]*service{},
 	}
