--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -128,6 +128,16 @@
 	n.Close()
 }
 
+// Drain ends node n in order, as SIGTERM would.
+func (c *Cluster) Drain(n int) {
+	node := c.Nodes[strconv.Itoa(n)]
+	if node == nil {
+		return
+	}
+	delete(c.Nodes, strconv.Itoa(n))
+	node.Drain()
+}
+
 // DataDir returns the data directory of node n, which survives its restarts.
 func (c *Cluster) DataDir(n int) string {
 	if c.dataDirs[n] == "" {
--- a/internal/testcluster/disconnect.go
+++ b/internal/testcluster/disconnect.go
@@ -29,13 +29,20 @@
 	// EndedAt is when the endpoint had answered, or its connection was closed;
 	// zero while it is at work. EndsAt is when it would have answered.
 	EndedAt, EndsAt time.Time
+	// Header, Trailer and Body are those of the request.
+	Header, Trailer http.Header
+	Body            []byte
 }
 
 // recordArrival adds the request to the arrivals; the function returned records
 // its end.
-func (e *Endpoint) recordArrival(r *http.Request, mode Mode) (ended func()) {
+func (e *Endpoint) recordArrival(r *http.Request, body []byte, mode Mode) (ended func()) {
 	now := time.Now()
-	a := &Arrival{ID: r.Header.Get("Swiftswitch-Request-Id"), Target: r.RequestURI, Endpoint: e.id, ReceivedAt: now, EndsAt: now.Add(mode.delay())}
+	a := &Arrival{
+		ID: r.Header.Get("Swiftswitch-Request-Id"), Target: r.RequestURI, Endpoint: e.id,
+		ReceivedAt: now, EndsAt: now.Add(mode.delay()),
+		Header: r.Header, Trailer: r.Trailer, Body: body,
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.arrivals = append(e.arrivals, a)
@@ -48,7 +55,12 @@
 
 // Arrivals returns copies of the requests that came to all endpoints so far, by
 // their ID.
-func (c *Cluster) Arrivals() map[string][]Arrival {
+func (c *Cluster) Arrivals() map[string][]Arrival { return c.collectArrivals(false) }
+
+// TakeArrivals returns what Arrivals does, and forgets it.
+func (c *Cluster) TakeArrivals() map[string][]Arrival { return c.collectArrivals(true) }
+
+func (c *Cluster) collectArrivals(forget bool) map[string][]Arrival {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	arrivals := map[string][]Arrival{}
@@ -57,6 +69,9 @@
 		for _, a := range e.arrivals {
 			arrivals[a.ID] = append(arrivals[a.ID], *a)
 		}
+		if forget {
+			e.arrivals = nil
+		}
 		e.mu.Unlock()
 	}
 	return arrivals
--- a/internal/testcluster/endpoint.go
+++ b/internal/testcluster/endpoint.go
@@ -105,7 +105,7 @@
 		return
 	}
 	mode, stamp := e.execute(r, body)
-	defer e.recordArrival(r, mode)()
+	defer e.recordArrival(r, body, mode)()
 	if mode != ModeNoStamp {
 		w.Header().Set("Swiftswitch-Server-Stamp", stamp)
 	}
