Clients that leave: an unused connection keeps its times, an interrupted peek is made again

An attempt that was canceled before it was sent put its connection back with new times; an interrupted peek counted as an open socket; whether a request may run twice stood in two places, as did the poll of a socket; Watch and Unwatch stood as a pair in five places.

Change: Pool.putBack keeps the times and the order; peekState peeks again after EINTR; the query's policy alone says whether a request is idempotent; notMade is the one predicate of attempts that were not made; hangupWatcher.poll serves both looks; Caller.Watch takes the wait.

--- a/internal/frontend/cached_route.go
+++ b/internal/frontend/cached_route.go
@@ -68,20 +68,21 @@
 // rejected before. The fetch of a client that leaves goes on for the others who
 // wait for it, and for the cache.
 func (h *Handler) awaitFetch(caller *transport.Caller, fetch *sharedFetch, left time.Duration) (reason rejection, ok bool) {
-	caller.Watch()
-	defer caller.Unwatch()
 	timer := time.NewTimer(left)
 	defer timer.Stop()
-	select {
-	case <-fetch.done:
-		return 0, true
-	case <-timer.C:
-		return rejectFetchTimedOut, false
-	case <-caller.Context().Done():
-		return rejectFetchUnavailable, false
-	case <-h.cancelWaiting:
-		return rejectDraining, false
-	}
+	caller.Watch(func() {
+		select {
+		case <-fetch.done:
+			ok = true
+		case <-timer.C:
+			reason = rejectFetchTimedOut
+		case <-caller.Context().Done():
+			reason = rejectFetchUnavailable
+		case <-h.cancelWaiting:
+			reason = rejectDraining
+		}
+	})
+	return reason, ok
 }
 
 // writeFetchResult answers by the result of a fetch. It returns false, without
--- a/internal/frontend/filters.go
+++ b/internal/frontend/filters.go
@@ -16,14 +16,14 @@
 func (h *Handler) pinSnapshot(e *exchange) bool {
 	e.snapshot = h.snapshot.Load()
 	if e.snapshot == nil {
-		e.caller.Watch()
-		defer e.caller.Unwatch()
-		select {
-		case <-h.hasSnapshot:
-			e.snapshot = h.snapshot.Load()
-		case <-e.caller.Context().Done():
-		case <-time.After(h.options.StartupWait):
-		}
+		e.caller.Watch(func() {
+			select {
+			case <-h.hasSnapshot:
+				e.snapshot = h.snapshot.Load()
+			case <-e.caller.Context().Done():
+			case <-time.After(h.options.StartupWait):
+			}
+		})
 	}
 	if e.snapshot == nil {
 		return h.reject(e, rejectNoConfiguration)
@@ -62,7 +62,7 @@
 	if e.route == nil {
 		return h.reject(e, rejectNoRoute)
 	}
-	e.request.Route, e.request.TargetLatency, e.request.Idempotent = e.route.Name, e.route.TargetLatency, e.route.Idempotent
+	e.request.Route, e.request.TargetLatency = e.route.Name, e.route.TargetLatency
 	return true
 }
 
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -26,9 +26,10 @@
 	}
 	query := scatter.NewQuery(policy, shards)
 	defer query.Release()
-	e.caller.Watch()
-	defer e.caller.Unwatch()
-	succeeded := h.gatherer.Gather(e.caller, query, e.request, e.deadlines, h.relayFor(e))
+	succeeded := false
+	e.caller.Watch(func() {
+		succeeded = h.gatherer.Gather(e.caller, query, e.request, e.deadlines, h.relayFor(e))
+	})
 	h.writeResult(e, query, succeeded)
 	return false
 }
--- a/internal/frontend/relay.go
+++ b/internal/frontend/relay.go
@@ -107,9 +107,9 @@
 	h.relayed.Add(1)
 	query := scatter.NewQuery(scatter.Policy{MaxAttempts: 1, Idempotent: true, Relayed: true}, shards)
 	defer query.Release()
-	caller.Watch()
-	defer caller.Unwatch()
-	h.gatherer.Gather(caller, query, request, relayDeadlines(start, route, &message), nil)
+	caller.Watch(func() {
+		h.gatherer.Gather(caller, query, request, relayDeadlines(start, route, &message), nil)
+	})
 	return relayResponse(query, route.TopRecords), true
 }
 
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -99,13 +99,17 @@
 }
 
 // run returns the first answer that settles the call, or nil.
-func (f *forwarding) run() *transport.Response {
+func (f *forwarding) run() (response *transport.Response) {
+	f.caller.Watch(func() { response = f.awaitAnswer() })
+	return response
+}
+
+// awaitAnswer makes attempts until one settles the call.
+func (f *forwarding) awaitAnswer() *transport.Response {
 	expired := time.NewTimer(time.Until(f.deadline))
 	defer expired.Stop()
 	hedge := time.NewTicker(f.hedgeInterval())
 	defer hedge.Stop()
-	f.caller.Watch()
-	defer f.caller.Unwatch()
 	f.attemptNext()
 	for f.pending > 0 {
 		select {
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -47,6 +47,7 @@
 // on in the background: an endpoint at work is not interrupted while its caller
 // is there. Their responses are released.
 func (g *Gatherer) Gather(caller Caller, q *Query, request *upstream.Request, deadlines Deadlines, relay Relay) (succeeded bool) {
+	request.Idempotent = q.policy.Idempotent
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &run{
 		Gatherer: g, caller: caller, request: request, deadlines: deadlines, relay: relay,
--- a/internal/transport/caller.go
+++ b/internal/transport/caller.go
@@ -68,19 +68,14 @@
 	return c.ctx.Err() != nil
 }
 
-// Watch has the connection looked at regularly, from a little after now until
-// Unwatch.
-func (c *Caller) Watch() {
+// Watch calls wait, and has the connection looked at regularly from a little
+// after now until wait returns.
+func (c *Caller) Watch(wait func()) {
 	if c != nil {
 		c.watcher.add(c)
+		defer c.watcher.remove(c)
 	}
-}
-
-// Unwatch ends Watch.
-func (c *Caller) Unwatch() {
-	if c != nil {
-		c.watcher.remove(c)
-	}
+	wait()
 }
 
 // close must be called before the connection is closed.
--- a/internal/transport/caller_test.go
+++ b/internal/transport/caller_test.go
@@ -28,15 +28,15 @@
 	t.Cleanup(func() { _ = socket.Close() })
 	Serve(socket, testOptions(), func(ctx context.Context, c *app.RequestContext) {
 		caller := CallerFrom(ctx)
-		caller.Watch()
-		defer caller.Unwatch()
-		handling.Add(1)
-		select {
-		case <-caller.Context().Done():
-			c.SetConnectionClose()
-			left <- caller
-		case <-time.After(3 * time.Second):
-		}
+		caller.Watch(func() {
+			handling.Add(1)
+			select {
+			case <-caller.Context().Done():
+				c.SetConnectionClose()
+				left <- caller
+			case <-time.After(3 * time.Second):
+			}
+		})
 	})
 	return socket.Addr().String(), handling, left
 }
@@ -147,8 +147,11 @@
 // A nil Caller, that of a context without one, never leaves.
 func TestNoCaller(t *testing.T) {
 	caller := CallerFrom(t.Context())
-	caller.Watch()
-	caller.Unwatch()
+	waited := false
+	caller.Watch(func() { waited = true })
+	if !waited {
+		t.Error("the wait was not called")
+	}
 	if caller != nil || caller.Left() || caller.Context().Err() != nil {
 		t.Errorf("caller %v", caller)
 	}
@@ -166,11 +169,11 @@
 		return !watcher.sweeping && len(watcher.watched) == 0
 	}
 	for range 2 {
-		caller.Watch()
-		if resting() {
-			t.Error("no sweep is due for a watched caller")
-		}
-		caller.Unwatch()
+		caller.Watch(func() {
+			if resting() {
+				t.Error("no sweep is due for a watched caller")
+			}
+		})
 		time.Sleep(3 * hangupSweepInterval)
 		if !resting() {
 			t.Error("sweeps go on for nobody")
--- a/internal/transport/hangup_watcher.go
+++ b/internal/transport/hangup_watcher.go
@@ -31,9 +31,9 @@
 	// timer runs sweep; sweeping is whether it is started.
 	timer    *time.Timer
 	sweeping bool
-	// sockets and polled are scratch space of sweep.
+	// sockets is scratch space of poll, due of sweep.
 	sockets []unix.PollFd
-	polled  []*Caller
+	due     []*Caller
 }
 
 func (w *hangupWatcher) add(c *Caller) {
@@ -72,10 +72,7 @@
 	state := peekSocket(int(c.fd))
 	if state == socketReadable {
 		// The end of the stream may follow behind what the caller pipelined.
-		sockets := []unix.PollFd{{Fd: c.fd, Events: hangupEvents}}
-		if n, err := unix.Poll(sockets, 0); err == nil && n > 0 && hungUp(&sockets[0]) {
-			state = socketEnded
-		}
+		w.poll(c)
 	}
 	if state == socketEnded {
 		c.cancel()
@@ -88,29 +85,35 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sweeping = false
-	w.sockets, w.polled = w.sockets[:0], w.polled[:0]
+	due := w.due[:0]
 	for c, watchedAt := range w.watched {
 		if watchedAt < w.sweeps {
-			w.sockets = append(w.sockets, unix.PollFd{Fd: c.fd, Events: hangupEvents})
-			w.polled = append(w.polled, c)
+			due = append(due, c)
 		}
 	}
 	w.sweeps++
-	if len(w.polled) > 0 {
-		w.cancelHungUp()
-	}
+	w.due = due
+	w.poll(due...)
 	if len(w.watched) > 0 {
 		w.startTimer()
 	}
 }
 
-// cancelHungUp polls the sockets that sweep collected. The caller holds w.mu.
-func (w *hangupWatcher) cancelHungUp() {
+// poll looks at the sockets of some callers, and cancels the contexts of those
+// that have left. The caller holds w.mu.
+func (w *hangupWatcher) poll(callers ...*Caller) {
+	if len(callers) == 0 {
+		return
+	}
+	w.sockets = w.sockets[:0]
+	for _, c := range callers {
+		w.sockets = append(w.sockets, unix.PollFd{Fd: c.fd, Events: hangupEvents})
+	}
 	n, err := unix.Poll(w.sockets, 0)
 	if err != nil || n == 0 {
 		return
 	}
-	for i, c := range w.polled {
+	for i, c := range callers {
 		if hungUp(&w.sockets[i]) {
 			c.cancel()
 			delete(w.watched, c)
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -54,10 +54,22 @@
 
 // peekSocket returns the state of a socket without reading from it or blocking.
 func peekSocket(fd int) socketState {
+	return peekState(func(b []byte) (int, error) {
+		n, _, err := unix.Recvfrom(fd, b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return n, err
+	})
+}
+
+// peekState returns what a peek at a socket says. One that a signal interrupted
+// says nothing and is made again.
+func peekState(peek func(b []byte) (int, error)) socketState {
 	var b [1]byte
-	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, err := peek(b[:])
+	for err == unix.EINTR {
+		n, err = peek(b[:])
+	}
 	switch {
-	case err == unix.EAGAIN || err == unix.EINTR:
+	case err == unix.EAGAIN:
 		return socketOpen
 	case n > 0:
 		return socketReadable
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -38,12 +38,17 @@
 // minAttemptTime is the least time for which an attempt is worth making.
 const minAttemptTime = time.Millisecond
 
-// Errors of an attempt that was not made. They say nothing about the endpoint.
+// Errors of an attempt that was not made. They say nothing about the endpoint:
+// see notMade.
 var (
 	errNoTimeLeft = errors.New("no time left")
 	errCanceled   = errors.New("canceled before the request was sent")
 )
 
+// notMade reports whether an attempt ended before anything was asked of its
+// endpoint.
+func notMade(err error) bool { return errors.Is(err, errNoTimeLeft) || errors.Is(err, errCanceled) }
+
 // Attempt is one attempt at a request, and how it ended.
 type Attempt struct {
 	Outcome Outcome
@@ -132,7 +137,7 @@
 	}
 	if ctx.Err() != nil {
 		// Opening the connection may have taken long.
-		p.putIdle(e, conn, p.options.IdleTimeout)
+		p.putBack(e, conn, dialed)
 		return Attempt{Outcome: OutcomeUnsent, Err: errCanceled}
 	}
 	if !request.Idempotent {
--- a/internal/upstream/conn_pool.go
+++ b/internal/upstream/conn_pool.go
@@ -53,13 +53,34 @@
 // putIdle keeps a connection for the next request.
 func (p *Pool) putIdle(e *Endpoint, conn *transport.Conn, timeout time.Duration) {
 	conn.IdleSince, conn.IdleTimeout = time.Now(), timeout
+	p.keep(e, conn)
+}
+
+// putBack keeps a connection on which nothing was sent. One that was idle before
+// has been so ever since: its endpoint closes it as soon as it said.
+func (p *Pool) putBack(e *Endpoint, conn *transport.Conn, dialed bool) {
+	if dialed {
+		p.putIdle(e, conn, p.options.IdleTimeout)
+		return
+	}
+	p.keep(e, conn)
+}
+
+// keep adds an idle connection to those of its endpoint, unless it may not be
+// used again. They stay in the order in which they became idle.
+func (p *Pool) keep(e *Endpoint, conn *transport.Conn) {
+	now := time.Now()
 	p.mu.Lock()
-	if e.removed || conn.IdleSince.Before(e.noReuseUntil) {
+	if e.removed || now.Before(e.noReuseUntil) {
 		p.mu.Unlock()
 		_ = conn.Close()
 		return
 	}
-	e.idleConns = append(e.idleConns, conn)
+	at := len(e.idleConns)
+	for at > 0 && conn.IdleSince.Before(e.idleConns[at-1].IdleSince) {
+		at--
+	}
+	e.idleConns = slices.Insert(e.idleConns, at, conn)
 	p.mu.Unlock()
 }
 
--- a/internal/upstream/conn_pool_test.go
+++ b/internal/upstream/conn_pool_test.go
@@ -120,3 +120,22 @@
 		}
 	}
 }
+
+// A connection that was taken for an attempt that was canceled before it was sent
+// keeps the times that it had: its endpoint closes it no later for that.
+func TestUnusedConnKeepsItsTimes(t *testing.T) {
+	pool, request, _ := newIdlePool(t)
+	e := pool.endpoints["i"]
+	conn := e.idleConns[0]
+	idleSince := time.Now().Add(-700 * time.Millisecond)
+	conn.IdleSince, conn.IdleTimeout = idleSince, 800*time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	picked, start := pool.Pick(Selector{Service: "s"}, nil, testTarget, false)
+	if a := pool.Do(ctx, picked, request, start, time.Now().Add(time.Second)); a.Outcome != OutcomeUnsent || !notMade(a.Err) {
+		t.Fatalf("attempt %+v", a)
+	}
+	if len(e.idleConns) != 1 || e.idleConns[0] != conn || !conn.IdleSince.Equal(idleSince) || conn.IdleTimeout != 800*time.Millisecond {
+		t.Fatalf("%d idle connections, idle since %v for %v", len(e.idleConns), conn.IdleSince, conn.IdleTimeout)
+	}
+}
--- a/internal/upstream/ejection.go
+++ b/internal/upstream/ejection.go
@@ -45,7 +45,7 @@
 		e.ejectedUntil = now.Add(p.options.BaseEjectionTime)
 	case a.Outcome == OutcomeAnswered, a.Outcome == OutcomeUnprocessed:
 		notify.healthy = p.recordResponse(e, a, elapsedMs, now)
-	case a.Outcome == OutcomeCanceled, errors.Is(a.Err, errNoTimeLeft), errors.Is(a.Err, errCanceled):
+	case a.Outcome == OutcomeCanceled, notMade(a.Err):
 	case a.closedOnConnect:
 		p.reduceLimit(e, now)
 	default:
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -23,9 +23,10 @@
 	// endpoints are told, see SetTenant.
 	Credential tenant.Credential
 	Tenant     string
-	// Route is the name of the request's route, TargetLatency the time within
-	// which a response has its full value, and Idempotent whether the request
-	// may be processed more than once. The caller sets all three.
+	// Route is the name of the request's route and TargetLatency the time within
+	// which a response has its full value; the caller sets both. Idempotent is
+	// whether the request may be processed more than once; scatter.Gatherer sets
+	// it by its query's policy.
 	Route         string
 	TargetLatency time.Duration
 	Idempotent    bool
@@ -67,7 +68,7 @@
 	if len(requestLine) != 3 || lines[len(lines)-1] != "" {
 		return nil, false
 	}
-	request = &Request{Method: requestLine[0], Target: requestLine[1], DeadlineMs: noDeadline, Idempotent: true, head: []byte(head)}
+	request = &Request{Method: requestLine[0], Target: requestLine[1], DeadlineMs: noDeadline, head: []byte(head)}
 	for _, line := range lines[1:] {
 		name, value, _ := strings.Cut(line, ": ")
 		switch strings.ToLower(name) {
