Upstream: a request is not sent on a connection that opened after its endpoint had left

Its front's link was full: packets waited some 0.7 s, and opening a connection takes two of them. The endpoint was picked before the front knew, and the request was sent after.

Change: Pool.exchange looks again once a new connection is open. An attempt that is not made for that says nothing against the endpoint.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -43,11 +43,16 @@
 var (
 	errNoTimeLeft = errors.New("no time left")
 	errCanceled   = errors.New("canceled before the request was sent")
+	// errEndpointLeft: the endpoint began to drain, or was removed, while a
+	// connection to it was opened.
+	errEndpointLeft = errors.New("the endpoint left before the request was sent")
 )
 
 // notMade reports whether an attempt ended before anything was asked of its
 // endpoint.
-func notMade(err error) bool { return errors.Is(err, errNoTimeLeft) || errors.Is(err, errCanceled) }
+func notMade(err error) bool {
+	return errors.Is(err, errNoTimeLeft) || errors.Is(err, errCanceled) || errors.Is(err, errEndpointLeft)
+}
 
 // Attempt is one attempt at a request, and how it ended.
 type Attempt struct {
@@ -140,6 +145,12 @@
 		p.putBack(e, conn, dialed)
 		return Attempt{Outcome: OutcomeUnsent, Err: errCanceled}
 	}
+	if dialed && p.hasLeft(e) {
+		// Over a full link the connection may take longer to open than the news
+		// takes to come that the endpoint drains.
+		_ = conn.Close()
+		return Attempt{Outcome: OutcomeUnsent, Err: errEndpointLeft}
+	}
 	if !request.Idempotent {
 		ctx = context.Background()
 	}
@@ -173,10 +184,18 @@
 		return conn, false, nil
 	}
 	p.metrics.dials.Inc()
-	conn, err = transport.Dial(e.Addr, min(deadline.Sub(now), p.options.DialTimeout), p.options.TCPUserTimeout)
+	conn, err = p.dial(e.Addr, min(deadline.Sub(now), p.options.DialTimeout), p.options.TCPUserTimeout)
 	return conn, true, err
 }
 
+// hasLeft reports whether an endpoint that was picked may get no requests any
+// more.
+func (p *Pool) hasLeft(e *Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return e.removed
+}
+
 // failedAttempt returns the attempt of an exchange that failed. sent reports
 // whether any byte may have gone out.
 func failedAttempt(ctx context.Context, e *Endpoint, sent bool, err error) Attempt {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"swiftswitch/internal/endpoints"
 	"swiftswitch/internal/transport"
@@ -27,6 +28,8 @@
 
 	options Options
 	metrics poolMetrics
+	// dial opens a connection: transport.Dial, but for tests.
+	dial func(addr string, timeout, tcpUserTimeout time.Duration) (*transport.Conn, error)
 
 	// mu guards all fields below and the mutable fields of every Endpoint.
 	mu          sync.Mutex
@@ -61,6 +64,7 @@
 		OnAttempt:     func(*Endpoint, *Request, *Attempt) {},
 		options:       options,
 		metrics:       newPoolMetrics(options.Metrics),
+		dial:          transport.Dial,
 		endpoints:     map[string]*Endpoint{},
 		services:      map[string]*service{},
 	}
