Sight: values that nothing acts on are named too, in the settings and the configuration

Cause: reading on for what is said to the program and passed over in silence: Protocol and TransportSecurity of a service, Discovery, EntryKind and the platform's Duties are read and never looked at. A service that wants TLS would be called in the clear.

Change: config.Unsupported names fields that are not read and values that are not acted on ('Services[].Protocol=h2'); Settings.Unsupported contracts, duties, discovery and entry kind. E1010 and E3024, status, metrics, acknowledgement and 'check' show them; a control node that starts looks at the configuration on its disk.

--- a/cmd/swiftswitch/config.go
+++ b/cmd/swiftswitch/config.go
@@ -53,15 +53,15 @@
 	}
 }
 
-// warnOfUnknownFields says on standard error which fields of an acknowledged
-// configuration the answering node does not read.
-func warnOfUnknownFields(answer []byte) error {
+// warnOfUnsupported says on standard error what an acknowledged change asks for
+// and the answering node does not do.
+func warnOfUnsupported(answer []byte) error {
 	var acknowledgement nodeapi.ConfigurationAcknowledgement
 	if err := json.Unmarshal(answer, &acknowledgement); err != nil {
 		return fmt.Errorf("the acknowledgement can't be read: %w", err)
 	}
-	if len(acknowledgement.UnknownFields) > 0 {
-		_, _ = fmt.Fprintf(os.Stderr, "warning: the node does not read %s: what these fields ask for is not done\n", strings.Join(acknowledgement.UnknownFields, ", "))
+	if len(acknowledgement.Unsupported) > 0 {
+		_, _ = fmt.Fprintf(os.Stderr, "warning: in force, but the node does not do what these ask for: %s\n", strings.Join(acknowledgement.Unsupported, ", "))
 	}
 	return nil
 }
@@ -94,7 +94,7 @@
 				return err
 			}
 			fmt.Println("acknowledged")
-			return warnOfUnknownFields(answer.Body)
+			return warnOfUnsupported(answer.Body)
 		},
 	}
 	command.Flags().Int64Var(&baseVersion, "if-match", 0, "the version that this one builds on (0: the first)")
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -59,8 +59,8 @@
 	}
 	s.fronts.waitHold(s.State().Slot, min(s.acknowledgeTime(frontsWaitRatio), time.Until(deadline)/2))
 	transport.WriteJSON(c, http.StatusOK, nodeapi.ConfigurationAcknowledgement{
-		Version:       version,
-		UnknownFields: change.unknownFields(),
+		Version:     version,
+		Unsupported: change.unsupported(),
 	})
 }
 
@@ -144,17 +144,16 @@
 	return value, patch, nil
 }
 
-// unknownFields returns the paths of the fields that the change brings and that
-// this program does not read.
-func (c configurationChange) unknownFields() []string {
+// unsupported returns what the change asks for and this program does not do.
+func (c configurationChange) unsupported() []string {
 	if !c.isPatch {
-		return config.UnknownFields([]byte(c.body))
+		return config.Unsupported([]byte(c.body))
 	}
 	patch, err := config.ParsePatch([]byte(c.body))
 	if err != nil {
 		return nil
 	}
-	return config.UnknownPatchFields(patch)
+	return config.UnsupportedOfPatch(patch)
 }
 
 // changeConfiguration has a change decided and returns its version once enough
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -8,7 +8,7 @@
 	gauges := []metrics.Gauge{
 		{Name: "control_configuration_version", Help: "Version of the newest configuration that this node knows.", Value: float64(status.Version)},
 		{Name: "control_configuration_age_seconds", Help: "How long ago this node learned that version.", Value: float64(status.VersionAgeMs) / 1000},
-		{Name: "control_unknown_fields", Help: "Fields of that version that this program does not read.", Value: float64(len(status.UnknownFields))},
+		{Name: "control_unsupported", Help: "Things that this configuration asks for and the program does not do.", Value: float64(len(status.Unsupported))},
 		{Name: "control_slot", Help: "Last decided slot that this node knows.", Value: float64(status.Slot)},
 		{Name: "control_durable_slot", Help: "Last decided slot on this node's disk.", Value: float64(status.DurableSlot)},
 		{Name: "control_behind_slots", Help: "Slots that other control nodes know beyond this one's.", Value: float64(status.BehindBy)},
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -62,9 +62,9 @@
 	pastBodies []records.Body
 	// versionLearnedAt is when this node learned the configuration in force.
 	versionLearnedAt time.Duration
-	// unknownFields are the fields of the configuration in force that this
-	// program does not read.
-	unknownFields []string
+	// unsupported is what the configuration in force asks for and this program
+	// does not do.
+	unsupported []string
 }
 
 // replicaOwner is what a replica needs of its server.
@@ -99,6 +99,7 @@
 	r.acceptor.ID = stored.Identity
 	r.acceptor.Restore(stored.State, stored.Ballot)
 	r.highestRound = r.acceptor.Promised.Round
+	r.findUnsupported(stored.State)
 	return r
 }
 
@@ -134,7 +135,7 @@
 	}
 	if state.Version != old.Version {
 		r.versionLearnedAt = r.host.Now()
-		r.findUnknownFields(state)
+		r.findUnsupported(state)
 	}
 	r.owner.onStateLearned(old, state)
 	r.persistState()
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -21,10 +21,10 @@
 	Slot    int64 `json:"Slot"`
 	Version int64 `json:"Version"`
 	// VersionAgeMs is how long ago this node learned of Version, in
-	// milliseconds. UnknownFields are the paths of its fields that this program
-	// does not read: what they ask for is not done.
-	VersionAgeMs  int64    `json:"VersionAgeMs,omitempty"`
-	UnknownFields []string `json:"UnknownFields,omitempty"`
+	// milliseconds. Unsupported is what it asks for and this program does not do:
+	// paths of fields and of values.
+	VersionAgeMs int64    `json:"VersionAgeMs,omitempty"`
+	Unsupported  []string `json:"Unsupported,omitempty"`
 	// DurableSlot is the last decided slot on disk. BehindBy counts the slots
 	// that control nodes heard lately know beyond Slot.
 	DurableSlot int64 `json:"DurableSlot"`
@@ -100,7 +100,7 @@
 	status.DurableSlot = s.acceptor.DurableSlot()
 	status.Version = state.Version
 	status.VersionAgeMs = (s.host.Now() - s.versionLearnedAt).Milliseconds()
-	status.UnknownFields = s.unknownFields
+	status.Unsupported = s.unsupported
 	status.Promised = s.acceptor.Promised.String()
 	status.Accepted = s.acceptor.AcceptedBallot.String()
 	status.RememberedChanges = len(state.AppliedChanges)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -39,7 +39,7 @@
 	{ListenFailed, "listen-failed", LevelError, "An address can't be listened on and is retried; free the port or correct the address."},
 	{InvariantViolated, "invariant-violated", LevelError, "The process found itself in a state that must never occur, and ends; keep the log and report it."},
 	{ProcessPaused, "process-paused", LevelInfo, "The process did not run for the time named, since it was frozen or got no processor time; for a moment it answers orders with 503, since they may have waited in its sockets."},
-	{ContractsUnsupported, "contracts-unsupported", LevelWarn, "The settings name parts of the service rules that this program does not keep; run a version that does before relying on them."},
+	{SettingsUnsupported, "settings-unsupported", LevelWarn, "The settings ask for what this program does not do: a part of the service rules, a duty, or a way of working; run a version that does it before relying on it."},
 
 	{MessageRejected, "message-rejected", LevelWarn, "A malformed message from another node was rejected; if it recurs, compare the versions of the two nodes."},
 
@@ -60,7 +60,7 @@
 	{FailureDetectorReset, "failure-detector-reset", LevelInfo, "The node did not run for a while, and its failure detector counts the silence of other nodes from now on."},
 	{VoterAdded, "voter-added", LevelInfo, "A quorum gave a node a vote for the reason named; while kept is false, too few of the new voters have that on disk, so stop no other voter."},
 	{SlotRecovered, "slot-recovered", LevelInfo, "The node had accepted a value whose proposer fell silent, and proposed it itself; done tells whether the slot is decided."},
-	{ConfigFieldsUnknown, "config-fields-unknown", LevelWarn, "The configuration in force has fields that this program does not read, so what they ask for is not done; run a version that reads them, or remove them."},
+	{ConfigUnsupported, "config-unsupported", LevelWarn, "The configuration in force has fields that this program does not read, or values that it does not act on, so what they ask for is not done; run a version that does it, or remove them."},
 
 	{LeaseAcquired, "lease-acquired", LevelInfo, "A quorum granted this node the lease to poll the platform's list, under the epoch named."},
 	{LeaseEnded, "lease-ended", LevelInfo, "This node no longer polls the platform's list, since it released the lease or the lease ran out without a quorum that renewed it."},
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -15,7 +15,7 @@
 	ListenFailed           Event = 1007
 	InvariantViolated      Event = 1008
 	ProcessPaused          Event = 1009
-	ContractsUnsupported   Event = 1010
+	SettingsUnsupported    Event = 1010
 )
 
 // Calls between nodes.
@@ -42,7 +42,7 @@
 	FailureDetectorReset Event = 3021
 	VoterAdded           Event = 3022
 	SlotRecovered        Event = 3023
-	ConfigFieldsUnknown  Event = 3024
+	ConfigUnsupported    Event = 3024
 )
 
 // The lease to poll the platform's list, and the endpoint table made from it.
--- a/internal/front/configuration_fetcher.go
+++ b/internal/front/configuration_fetcher.go
@@ -39,11 +39,11 @@
 	newest *fetchedConfiguration
 }
 
-// fetchedConfiguration is a configuration, and the paths of its fields that this
-// program does not read.
+// fetchedConfiguration is a configuration, and what it asks for that this program
+// does not do.
 type fetchedConfiguration struct {
 	configuration *config.Configuration
-	unknownFields []string
+	unsupported   []string
 }
 
 // fetch brings the newest configuration from a control node and hands it to the
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fetched := &fetchedConfiguration{configuration, config.UnknownFields(raw)}
+	fetched := &fetchedConfiguration{configuration, config.Unsupported(raw)}
 	if response.BaseVersion > 0 {
 		if f.newest == nil || f.newest.configuration.Version != response.BaseVersion {
 			return nil, errUnknownBase
@@ -100,7 +100,7 @@
 			items.Lists = config.ListsOfEarlierVersions
 		}
 		fetched.configuration = f.newest.configuration.ApplyDelta(configuration, items)
-		fetched.unknownFields = config.UnknownFieldsAfterDelta(f.newest.unknownFields, fetched.unknownFields, items)
+		fetched.unsupported = config.UnsupportedAfterDelta(f.newest.unsupported, fetched.unsupported, items)
 	}
 	if fetched.configuration.Version != response.Version {
 		return nil, fmt.Errorf("%w: %d", errVersionMismatch, fetched.configuration.Version)
--- a/internal/front/layout_controller.go
+++ b/internal/front/layout_controller.go
@@ -55,9 +55,9 @@
 	// since currentSince.
 	currentVersion int64
 	currentSince   time.Duration
-	// unknownFields are the fields of the newest configuration that this program
-	// does not read.
-	unknownFields []string
+	// unsupported is what the newest configuration asks for and this program does
+	// not do.
+	unsupported []string
 
 	// ready is set with the first complete snapshot, and stays so.
 	ready atomic.Bool
@@ -90,9 +90,9 @@
 		return
 	}
 	configuration := fetched.configuration
-	c.unknownFields = fetched.unknownFields
-	if len(c.unknownFields) > 0 {
-		events.Log(events.ConfigFieldsUnknown, "version", version, "fields", strings.Join(c.unknownFields, ","))
+	c.unsupported = fetched.unsupported
+	if len(c.unsupported) > 0 {
+		events.Log(events.ConfigUnsupported, "version", version, "unsupported", strings.Join(c.unsupported, ","))
 	}
 	routes := routing.Compile(configuration, c.defaultLimits, c.newestTable)
 	c.newestTable = routes
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -10,7 +10,7 @@
 		{Name: "front_configuration_version", Help: "Version of the configuration that requests are routed by.", Value: float64(status.Current)},
 		{Name: "front_configuration_age_seconds", Help: "How long ago that version came into force at this node.", Value: float64(status.CurrentAgeMs) / 1000},
 		{Name: "front_configuration_newest_version", Help: "Newest version that this node received.", Value: float64(status.LastBuilt)},
-		{Name: "front_unknown_fields", Help: "Fields of the newest version that this program does not read.", Value: float64(len(status.UnknownFields))},
+		{Name: "front_unsupported", Help: "Things that the newest version asks for and this program does not do.", Value: float64(len(status.Unsupported))},
 		{Name: "front_tenants", Help: "Tenants of that version.", Value: float64(status.Tenants)},
 		{Name: "front_tenant_keys", Help: "Keys of these tenants.", Value: float64(status.TenantKeys)},
 		{Name: "front_ready", Help: "Whether the node calls itself ready.", Value: boolGauge(status.Ready)},
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -16,10 +16,10 @@
 	Current   int64 `json:"Current"`
 	Next      int64 `json:"Next,omitempty"`
 	// CurrentAgeMs is how long ago Current came into force at this node, in
-	// milliseconds. UnknownFields are the paths of the fields of LastBuilt that
-	// this program does not read: what they ask for is not done.
-	CurrentAgeMs  int64    `json:"CurrentAgeMs,omitempty"`
-	UnknownFields []string `json:"UnknownFields,omitempty"`
+	// milliseconds. Unsupported is what LastBuilt asks for and this program does
+	// not do: paths of fields and of values.
+	CurrentAgeMs int64    `json:"CurrentAgeMs,omitempty"`
+	Unsupported  []string `json:"Unsupported,omitempty"`
 	// Tenants and TenantKeys count those of Current.
 	Tenants    int `json:"Tenants,omitempty"`
 	TenantKeys int `json:"TenantKeys,omitempty"`
@@ -75,7 +75,7 @@
 	status.LastBuilt = c.layouts.LastBuilt
 	status.Current = c.layouts.Current.Version
 	status.CurrentAgeMs = (c.host.Now() - c.currentSince).Milliseconds()
-	status.UnknownFields = c.unknownFields
+	status.Unsupported = c.unsupported
 	if routes := c.routeTables[status.Current]; routes != nil {
 		status.Tenants, status.TenantKeys = routes.Tenants.Size()
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"swiftswitch/internal/events"
 	"swiftswitch/internal/metrics"
@@ -66,7 +67,7 @@
 	gauges := []metrics.Gauge{
 		{Name: "up_seconds", Help: "Time since the process started.", Value: n.Now().Seconds()},
 		{Name: "draining", Help: "Whether the node drains.", Value: draining},
-		{Name: "unsupported_contracts", Help: "Parts of the service rules in the settings that this program does not keep.", Value: float64(len(n.Settings().UnsupportedContracts()))},
+		{Name: "unsupported_settings", Help: "Things that the settings ask for and this program does not do.", Value: float64(len(n.Settings().Unsupported()))},
 	}
 	if n.control != nil {
 		gauges = append(gauges, n.control.Gauges()...)
@@ -77,10 +78,9 @@
 	return gauges
 }
 
-// logUnsupportedContracts says which parts of the service rules in the settings
-// this program does not keep.
-func (n *Node) logUnsupportedContracts() {
-	if contracts := n.Settings().UnsupportedContracts(); len(contracts) > 0 {
-		events.Log(events.ContractsUnsupported, "contracts", contracts)
+// logUnsupported says what the settings ask for and this program does not do.
+func (n *Node) logUnsupported() {
+	if unsupported := n.Settings().Unsupported(); len(unsupported) > 0 {
+		events.Log(events.SettingsUnsupported, "settings", strings.Join(unsupported, ","))
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,7 +116,7 @@
 		n.front.Start()
 	}
 	n.serveMetrics()
-	n.logUnsupportedContracts()
+	n.logUnsupported()
 	go n.shuffleLoop()
 	go n.pauseLoop()
 	return nil
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -65,5 +65,5 @@
 	settings.DataDirectory = old.DataDirectory
 	n.SetSettings(settings)
 	events.Log(events.SettingsReloaded)
-	n.logUnsupportedContracts()
+	n.logUnsupported()
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -18,9 +18,8 @@
 	Zone     string `json:"Zone"`
 	UpMs     int64  `json:"UpMs"`
 	Draining bool   `json:"Draining"`
-	// UnsupportedContracts are the parts of the service rules in the settings
-	// that this program does not keep.
-	UnsupportedContracts []string `json:"UnsupportedContracts,omitempty"`
+	// Unsupported is what the settings ask for and this program does not do.
+	Unsupported []string `json:"Unsupported,omitempty"`
 
 	View    []peersampling.Node `json:"View"`
 	Control *control.Status     `json:"Control,omitempty"`
@@ -35,7 +34,7 @@
 		UpMs:     n.Now().Milliseconds(),
 		Draining: n.Draining.Load(),
 
-		UnsupportedContracts: n.Settings().UnsupportedContracts(),
+		Unsupported: n.Settings().Unsupported(),
 	}
 	n.ViewLoop.Call(func() { status.View = n.View.Nodes() })
 	if n.control != nil {
--- a/internal/nodeapi/acknowledgement.go
+++ b/internal/nodeapi/acknowledgement.go
@@ -4,7 +4,7 @@
 // configuration that was decided.
 type ConfigurationAcknowledgement struct {
 	Version int64 `json:"Version"`
-	// UnknownFields are the paths of the configuration's fields that the
-	// answering node does not read: what they ask for is not done.
-	UnknownFields []string `json:"UnknownFields,omitempty"`
+	// Unsupported is what the change asks for and the answering node does not do:
+	// paths of fields and of values.
+	Unsupported []string `json:"Unsupported,omitempty"`
 }
