--- a/internal/config/carried_test.go
+++ b/internal/config/carried_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -116,3 +117,19 @@
 		t.Errorf("tenants %v are left", none.Tenants)
 	}
 }
+
+// A change of one tenant among many.
+func BenchmarkApplyDelta(b *testing.B) {
+	held := &config.Configuration{Version: 1}
+	for i := range 100_000 {
+		held.Tenants = append(held.Tenants, &config.Tenant{Name: fmt.Sprint("tenant-", i), ApiKeys: []string{fmt.Sprint(i)}})
+	}
+	changes := &config.Configuration{Version: 2, Tenants: []*config.Tenant{{Name: "tenant-7"}}}
+	items := config.ItemChanges{Lists: []string{"Routes", "Services", "Tenants"}, Removed: map[string][]string{"Tenants": {"tenant-8"}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if got := held.ApplyDelta(changes, items); len(got.Tenants) != 99_999 {
+			b.Fatal(len(got.Tenants))
+		}
+	}
+}
