--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -37,6 +37,12 @@
 	// ToleratedLosses is how many machines may be lost at once. It must be set
 	// before nodes are started.
 	ToleratedLosses int
+	// TimeScale, where it is set, stretches all bounds and intervals of the
+	// settings. LastFront, where it is set, is the greatest number of a front;
+	// greater ones are those of cache nodes. Both must be set before nodes are
+	// started.
+	TimeScale float64
+	LastFront int
 	// MetricsPort is the port of the nodes' metrics, 0 for none. It must be set
 	// before nodes are started.
 	MetricsPort int
@@ -104,7 +110,7 @@
 	options := host.DefaultOptions()
 	options.Rollout.TrialAfter = trialAfter
 	options.MetricsPort = c.MetricsPort
-	if isCacheNode(n) {
+	if c.isCacheNode(n) {
 		options.Role = host.RoleCache
 	}
 	started, err := node.Open(c.Settings(n, firstStart, seeds...), "", options)
--- a/internal/testcluster/keyed_client.go
+++ b/internal/testcluster/keyed_client.go
@@ -30,6 +30,10 @@
 // KeyedClient keeps its connection to a front open for as long as the front
 // does. It is not safe for concurrent use.
 type KeyedClient struct {
+	// Stubborn clients use their connection although an answer said that it is
+	// the last on it.
+	Stubborn bool
+
 	cluster *Cluster
 	front   int
 	conn    net.Conn
@@ -87,7 +91,8 @@
 	r.Body, err = io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	r.Status, r.EndedAt = response.StatusCode, time.Now()
-	if err != nil || response.Close || strings.EqualFold(response.Header.Get("Connection"), "close") {
+	isLast := response.Close || strings.EqualFold(response.Header.Get("Connection"), "close")
+	if err != nil || isLast && !k.Stubborn {
 		k.Close()
 	}
 	return r
--- /dev/null
+++ b/internal/testcluster/processes.go
@@ -0,0 +1,126 @@
+package testcluster
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+const (
+	// processGrace is how much longer than GraceS a process may take to end.
+	processGrace = 4 * time.Second
+	// binaryDir is the program's package, from the directory of a test of
+	// internal/node.
+	binaryDir = "../../cmd/swiftswitch"
+)
+
+// Processes runs the nodes of a cluster as processes of their own, so that they
+// can be sent signals. It is safe for concurrent use.
+type Processes struct {
+	*Cluster
+	binary string
+	dir    string
+
+	mu      sync.Mutex
+	running map[int]*exec.Cmd
+}
+
+// NewProcesses builds the program. The processes end with the test.
+func NewProcesses(t *testing.T, c *Cluster) *Processes {
+	t.Helper()
+	p := &Processes{Cluster: c, dir: t.TempDir(), running: map[int]*exec.Cmd{}}
+	p.binary = filepath.Join(p.dir, "swiftswitch")
+	if out, err := exec.Command("go", "build", "-tags=stdjson", "-o", p.binary, binaryDir).CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	t.Cleanup(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, command := range p.running {
+			_ = command.Process.Kill()
+			_ = command.Wait()
+		}
+	})
+	return p
+}
+
+// settingsPath is the settings file of node n.
+func (p *Processes) settingsPath(n int) string {
+	return filepath.Join(p.dir, fmt.Sprintf("%d.yaml", n))
+}
+
+// writeSettings writes the settings file of node n. JSON is YAML, too.
+func (p *Processes) writeSettings(n int, firstStart bool, seeds []int) {
+	raw, err := protojson.Marshal(p.Settings(n, firstStart, seeds...))
+	if err != nil {
+		p.T.Error(err)
+		return
+	}
+	if err := os.WriteFile(p.settingsPath(n), raw, 0o600); err != nil {
+		p.T.Error(err)
+	}
+}
+
+// StartProcess starts node n.
+func (p *Processes) StartProcess(n int, firstStart bool, seeds ...int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writeSettings(n, firstStart, seeds)
+	command := exec.Command(p.binary, "run", "--settings", p.settingsPath(n))
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		p.T.Errorf("node %d does not start: %v", n, err)
+		return
+	}
+	p.running[n] = command
+}
+
+// Count returns how many processes run.
+func (p *Processes) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.running)
+}
+
+// Signal sends node n a signal.
+func (p *Processes) Signal(n int, signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if command := p.running[n]; command != nil {
+		_ = command.Process.Signal(signal)
+	}
+}
+
+// Reload writes the settings of node n anew, with other seeds, and sends SIGHUP.
+func (p *Processes) Reload(n int, seeds ...int) {
+	p.mu.Lock()
+	p.writeSettings(n, false, seeds)
+	p.mu.Unlock()
+	p.Signal(n, syscall.SIGHUP)
+}
+
+// End sends node n a signal that ends it, and waits until it is gone. One that
+// outlives GraceS by far is an error.
+func (p *Processes) End(n int, signal syscall.Signal) {
+	p.mu.Lock()
+	command := p.running[n]
+	delete(p.running, n)
+	p.mu.Unlock()
+	if command == nil {
+		return
+	}
+	_ = command.Process.Signal(signal)
+	late := time.AfterFunc(p.scaled(time.Second)+processGrace, func() {
+		p.T.Errorf("node %d still runs after its grace", n)
+		_ = command.Process.Kill()
+	})
+	_ = command.Wait()
+	late.Stop()
+}
--- a/internal/testcluster/settings.go
+++ b/internal/testcluster/settings.go
@@ -1,8 +1,10 @@
 package testcluster
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
+	"time"
 
 	"swiftswitch/internal/config"
 )
@@ -24,7 +26,12 @@
 
 func isControlNode(n int) bool { return n <= maxControlNode }
 
-func isCacheNode(n int) bool { return n > maxFront }
+func (c *Cluster) isCacheNode(n int) bool { return n > cmp.Or(c.LastFront, maxFront) }
+
+// scaled returns a time of the settings, stretched by TimeScale.
+func (c *Cluster) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * cmp.Or(c.TimeScale, 1))
+}
 
 // Settings returns the settings of node n.
 func (c *Cluster) Settings(n int, firstStart bool, seeds ...int) *config.Settings {
@@ -34,12 +41,13 @@
 		serves = "control"
 		listen = fmt.Sprintf("ControlAddress: %q", c.address(n, controlPort))
 		dataDir = c.DataDir(n)
-	case isCacheNode(n):
+	case c.isCacheNode(n):
 		dataDir = c.DataDir(n)
 	default:
 		serves = "front"
 		listen = fmt.Sprintf("FrontAddress: %q, ReadinessAddress: %q", c.address(n, frontPort), c.address(n, readinessPort))
 	}
+	scale := cmp.Or(c.TimeScale, 1)
 	zone := "z1"
 	if n == remoteFront {
 		zone = "z2"
@@ -48,10 +56,11 @@
 	for _, seed := range seeds {
 		seedNodes = append(seedNodes, fmt.Sprintf("%q", c.address(seed, controlPort)))
 	}
-	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: %s, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: 300, ToleratedLosses: {Machines: %d},
+	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: %s, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: %v, ToleratedLosses: {Machines: %d},
  ListenAddresses: {%s},
- Bounds: {InTouchMs: 1000, AcknowledgeMs: 2500, CatchUpS: 1, DrainMs: 800, GraceS: 1, ConfigEffectMs: 1000, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100, ExposureShare: 0.3, ExposureSlack: 50, RollbackMs: 1500}, CloudApi: {Address: %q}}`,
-		n, c.IP(n), zone, serves, c.Port, c.Port+10, strings.Join(seedNodes, ","), firstStart, dataDir, c.ToleratedLosses, listen, c.platform.Listener.Addr())
+ Bounds: {InTouchMs: %v, AcknowledgeMs: %v, CatchUpS: %v, DrainMs: %v, GraceS: %v, ConfigEffectMs: %v, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100, ExposureShare: 0.3, ExposureSlack: 50, RollbackMs: %v}, CloudApi: {Address: %q}}`,
+		n, c.IP(n), zone, serves, c.Port, c.Port+10, strings.Join(seedNodes, ","), firstStart, dataDir, 300*scale, c.ToleratedLosses, listen,
+		c.scaled(inTouchTime).Milliseconds(), 2500*scale, 1*scale, 800*scale, 1*scale, c.scaled(configurationEffect).Milliseconds(), 1500*scale, c.platform.Listener.Addr())
 	settings, err := config.ParseSettings([]byte(text))
 	if err != nil {
 		c.T.Fatalf("settings: %v\n%s", err, text)
--- a/internal/testcluster/tenant_judge.go
+++ b/internal/testcluster/tenant_judge.go
@@ -140,7 +140,7 @@
 	}
 	allowed := map[string]bool{"": true}
 	if r.Key != "" {
-		allowed = j.operator.allowedOwners(r.Key, r.SentAt, r.EndedAt, !j.wasInTrouble(r), configurationEffect)
+		allowed = j.operator.allowedOwners(r.Key, r.SentAt, r.EndedAt, !j.wasInTrouble(r), j.cluster.scaled(configurationEffect))
 	}
 	names := slices.DeleteFunc(mapKeys(allowed), func(name string) bool { return name == "" })
 	for _, run := range runs {
@@ -177,7 +177,7 @@
 // request's time.
 func (j *TenantJudge) wasInTrouble(r *KeyedRequest) bool {
 	return slices.ContainsFunc(j.troubles, func(t frontTrouble) bool {
-		isOver := !t.end.IsZero() && t.end.Add(inTouchTime).Before(r.SentAt)
+		isOver := !t.end.IsZero() && t.end.Add(j.cluster.scaled(inTouchTime)).Before(r.SentAt)
 		return (t.front == 0 || t.front == r.Front) && !isOver && t.start.Before(r.EndedAt)
 	})
 }
