--- a/internal/testcluster/scenarios.go
+++ b/internal/testcluster/scenarios.go
@@ -14,8 +14,15 @@
 // StartDefault runs three control nodes and two fronts over two shards and a
 // plain service, each with two endpoints, by their IDs.
 func StartDefault(t *testing.T) (*Cluster, map[string]*Endpoint) {
+	t.Helper()
+	return StartStretched(t, 1)
+}
+
+// StartStretched is StartDefault with all bounds and intervals stretched.
+func StartStretched(t *testing.T, timeScale float64) (*Cluster, map[string]*Endpoint) {
 	t.Helper()
 	c := New(t)
+	c.TimeScale = timeScale
 	endpoints := map[string]*Endpoint{}
 	for _, id := range []string{"s1-a", "s1-b", "s2-a", "s2-b", "plain-a", "plain-b"} {
 		endpoints[id] = c.AddEndpoint(strings.Split(id, "-")[0], id)
--- a/internal/testcluster/settings.go
+++ b/internal/testcluster/settings.go
@@ -28,6 +28,9 @@
 
 func (c *Cluster) isCacheNode(n int) bool { return n > cmp.Or(c.LastFront, maxFront) }
 
+// ConfigurationEffect is ConfigEffectMs of the settings.
+func (c *Cluster) ConfigurationEffect() time.Duration { return c.scaled(configurationEffect) }
+
 // scaled returns a time of the settings, stretched by TimeScale.
 func (c *Cluster) scaled(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * cmp.Or(c.TimeScale, 1))
