--- a/internal/node/tenant_soak_test.go
+++ b/internal/node/tenant_soak_test.go
@@ -3,12 +3,15 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"swiftswitch/internal/events"
 	"swiftswitch/internal/testcluster"
 )
 
@@ -17,6 +20,7 @@
 //	go test ./internal/node -run TestTenantKeysUnderTroubles -tenants.time=10m -timeout 0 -v
 var (
 	tenantSoakTime = flag.Duration("tenants.time", 30*time.Second, "how long TestTenantKeysUnderTroubles runs")
+	tenantEvents   = flag.String("tenants.events", "", "a file for the events of the nodes of TestTenantKeysUnderTroubles")
 	tenantScale    = flag.Float64("tenants.scale", 2, "stretches the bounds of the soaks; more processes want more")
 	tenantSoakSeed = flag.Uint64("tenants.seed", 1, "the seed of its troubles and changes; 0 draws one")
 )
@@ -47,6 +51,7 @@
 		seed = rand.Uint64()
 	}
 	t.Log("seed", seed)
+	logEvents(t, *tenantEvents)
 	soak := &tenantSoak{tenantTest: startStretchedTenantTest(t, *tenantScale), troubles: map[string]int{}}
 	end := time.Now().Add(*tenantSoakTime)
 	stopClients := soak.startClients(seed)
@@ -62,6 +67,23 @@
 	}
 }
 
+// logEvents writes the events of all nodes to a file until the test ends.
+func logEvents(t *testing.T, path string) {
+	t.Helper()
+	if path == "" {
+		return
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	events.SetOutput(file)
+	t.Cleanup(func() {
+		events.SetOutput(io.Discard)
+		_ = file.Close()
+	})
+}
+
 // startClients has clients ask for all kinds of routes, with keys that are in
 // force, were, will be, or never are.
 func (s *tenantSoak) startClients(seed uint64) (stop func()) {
