--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -9,6 +9,7 @@
 var cases = map[string]func(record string) (int, error){
 	"keys-restart": caseKeysRestart,
 	"keys-lone":    caseKeysLone,
+	"rollout-back": caseRolloutBack,
 }
 
 func main() {
--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -349,7 +349,7 @@
 
 func (r *rig) askWithID(id, front, method, host, target string, headers map[string]string, body []byte, timeout time.Duration) answer {
 	a := answer{id: id}
-	address := fmt.Sprintf("%s:%d", r.nodes[front].ip, r.frontPort)
+	address := net.JoinHostPort(r.nodes[front].ip, strconv.Itoa(r.frontPort))
 	conn, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
 		a.sent, a.err = r.now(), err
--- a/review/standins/searcher.go
+++ b/review/standins/searcher.go
@@ -43,10 +43,13 @@
 }
 
 // list puts a searcher on the platform's list.
-func (r *rig) list(s *searcher, zone string) {
+func (r *rig) list(s *searcher, zone string) { r.listVersion(s, zone, "v1") }
+
+// listVersion puts a searcher with software of a version on the platform's list.
+func (r *rig) listVersion(s *searcher, zone, version string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.instances = append(r.instances, instance{InstanceID: s.id, Service: s.service, Address: s.listener.Addr().String(), Zone: zone, Version: "v1", Slots: 4, State: "ready"})
+	r.instances = append(r.instances, instance{InstanceID: s.id, Service: s.service, Address: s.listener.Addr().String(), Zone: zone, Version: version, Slots: 4, State: "ready"})
 }
 
 func (s *searcher) serve() {
