--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -10,6 +10,8 @@
 	"keys-restart": caseKeysRestart,
 	"keys-lone":    caseKeysLone,
 	"rollout-back": caseRolloutBack,
+	"rollout-lone": caseRolloutLone,
+	"rollout-meet": caseRolloutMeet,
 }
 
 func main() {
--- a/review/standins/rollout.go
+++ b/review/standins/rollout.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -107,14 +106,14 @@
 	return searchers, err
 }
 
-// caseRolloutBack: a service is moved to v2, then to v3, and ordered back to v2,
-// after the control nodes were restarted in turn.
-func caseRolloutBack(record string) (int, error) {
-	r, err := newRig(record)
-	if err != nil {
-		return exitNotRun, err
+// controlNodes are the control nodes of the cases about rollouts.
+var controlNodes = []string{"c1", "c2", "c3"}
+
+// rolloutRig is a deployment with the bounds of the rollouts, which serves v1.
+func rolloutRig(record string) (r *rig, first []*searcher, err error) {
+	if r, err = newRig(record); err != nil {
+		return nil, nil, err
 	}
-	defer r.close()
 	r.heartbeatMs = 1500
 	for name, value := range map[string]any{
 		"InTouchMs": 6000, "AcknowledgeMs": 8000, "CatchUpS": 6, "DrainMs": 4000, "ConfigEffectMs": 4000, "OuterStretchMs": 15000,
@@ -123,27 +122,40 @@
 		r.bounds[name] = value
 	}
 	r.contracts = []string{"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "rollout", "scatter"}
-	control := []string{"c1", "c2", "c3"}
-	for i, name := range control {
+	for i, name := range controlNodes {
 		r.add(name, "control", "north", i+1)
 	}
 	r.add("f1", "front", "north", 11)
-	first, err := r.versionSearchers("v1", 100)
-	if err != nil {
-		return exitNotRun, err
+	if first, err = r.versionSearchers("v1", 100); err != nil {
+		return r, nil, err
 	}
-	if err := r.startAll(control...); err != nil {
-		return exitNotRun, err
+	if err := r.startAll(controlNodes...); err != nil {
+		return r, nil, err
 	}
 	time.Sleep(time.Second)
-	if _, err := r.put(0, pagesConfiguration(1), control...); err != nil {
-		return exitNotRun, err
+	if _, err := r.put(0, pagesConfiguration(1), controlNodes...); err != nil {
+		return r, nil, err
 	}
-	if err := r.eventually("the front serves", 10*time.Second, func() bool {
+	return r, first, r.eventually("the front serves", 10*time.Second, func() bool {
 		return r.ask("f1", http.MethodGet, pagesHost, "/card/1", nil, nil, time.Second).status == http.StatusOK
-	}); err != nil {
+	})
+}
+
+// orderAge is when a case orders the service back to v2: the order of before is
+// older then by far than a copy of it could be, which comes within AcknowledgeMs.
+const orderAge = 41 * time.Second
+
+// caseRolloutBack: a service is moved to v2, then to v3, and ordered back to v2,
+// after the control nodes were restarted in turn.
+func caseRolloutBack(record string) (int, error) {
+	r, first, err := rolloutRig(record)
+	if r != nil {
+		defer r.close()
+	}
+	if err != nil {
 		return exitNotRun, err
 	}
+	control := controlNodes
 	stop, done := r.traffic()
 	defer func() {
 		close(stop)
@@ -153,8 +165,7 @@
 	if err != nil {
 		return exitNotRun, err
 	}
-	third, err := r.moveTo("v3", 120, second, control...)
-	if err != nil {
+	if _, err := r.moveTo("v3", 120, second, control...); err != nil {
 		return exitNotRun, err
 	}
 	if r.trouble {
@@ -170,8 +181,7 @@
 		// Calm for longer than InTouchMs.
 		time.Sleep(6500 * time.Millisecond)
 	}
-	// The order to v2 of before is older by far than a copy of it could be.
-	time.Sleep(max(0, 41*time.Second-r.now()))
+	time.Sleep(max(0, orderAge-r.now()))
 	r.note("the operator orders the service back to v2")
 	if _, err := r.versionSearchers("v2", 130); err != nil {
 		return exitNotRun, err
@@ -180,33 +190,48 @@
 	if err := r.order("v2", control...); err != nil {
 		return exitNotRun, err
 	}
+	return r.closeAndReadBack()
+}
+
+// closeAndReadBack plays the closing fault right after the acknowledgement of an
+// order to v2, waits for RecoveryS, and reads the rollout back.
+func (r *rig) closeAndReadBack() (int, error) {
 	ordered := r.now()
-	lost := 0
+	if r.trouble {
+		time.Sleep(100 * time.Millisecond)
+		r.note("closing fault: all processes are killed and start again")
+		for name, p := range r.nodes {
+			select {
+			case <-p.done:
+			default:
+				r.signal(name, syscall.SIGKILL)
+				<-p.done
+			}
+		}
+		for name := range r.nodes {
+			if err := r.startNode(name, false); err != nil {
+				return exitNotRun, err
+			}
+		}
+	}
 	var last rolloutState
 	for r.now() < ordered+16*time.Second {
-		state, ok := r.rollout(control...)
+		state, ok := r.rollout(controlNodes...)
 		if ok && state != last {
 			last = state
 			r.note("the operator reads: %s, to %s", state.State, state.TargetVersion)
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	if r.trouble {
-		r.note("closing fault: all control processes are killed and start again")
-		for _, name := range control {
-			r.signal(name, syscall.SIGKILL)
-		}
-		for _, name := range control {
-			<-r.nodes[name].done
-		}
-		for _, name := range control {
-			if err := r.startNode(name, false); err != nil {
-				return exitNotRun, err
-			}
-		}
-	}
+	return r.readBack(ordered)
+}
+
+// readBack reads the rollout at the end, when an order to v2 was acknowledged.
+func (r *rig) readBack(ordered time.Duration) (int, error) {
+	lost := 0
+	var last rolloutState
 	if err := r.eventually("the rollout is read back", 15*time.Second, func() bool {
-		state, ok := r.rollout(control...)
+		state, ok := r.rollout(controlNodes...)
 		last = state
 		return ok
 	}); err != nil {
@@ -218,39 +243,104 @@
 		r.note("BROKEN: the acknowledged order to v2 does not exist")
 	}
 	r.note("runs since the order, by searcher: %s", r.runCounts(ordered))
-	_ = third
 	return r.verdict(lost, "acknowledged orders of a rollout are gone")
 }
 
-// traffic sends requests all the time, until stop is closed.
-func (r *rig) traffic() (stop chan struct{}, done *sync.WaitGroup) {
-	stop, done = make(chan struct{}), &sync.WaitGroup{}
-	for range 4 {
-		done.Add(1)
-		go func() {
-			defer done.Done()
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(60 * time.Millisecond):
-				}
-				r.ask("f1", http.MethodGet, pagesHost, "/card/1", nil, nil, 1500*time.Millisecond)
-			}
-		}()
+// caseRolloutLone: a control node misses that a service is moved from v2 to v3.
+// As it returns the others are killed, and the operator orders the service back.
+func caseRolloutLone(record string) (int, error) {
+	r, first, err := rolloutRig(record)
+	if r != nil {
+		defer r.close()
+	}
+	if err != nil {
+		return exitNotRun, err
+	}
+	stop, done := r.traffic()
+	defer func() {
+		close(stop)
+		done.Wait()
+	}()
+	second, err := r.moveTo("v2", 110, first, controlNodes...)
+	if err != nil {
+		return exitNotRun, err
+	}
+	if r.trouble {
+		r.note("loss: c3 loses power")
+		r.kill("c3")
+	}
+	if _, err := r.moveTo("v3", 120, second, "c1", "c2"); err != nil {
+		return exitNotRun, err
+	}
+	if _, err := r.versionSearchers("v2", 130); err != nil {
+		return exitNotRun, err
+	}
+	time.Sleep(max(0, orderAge-r.now()))
+	if r.trouble {
+		r.note("kill: the other control nodes; c3 is back")
+		r.kill("c1")
+		r.kill("c2")
+		if err := r.startNode("c3", false); err != nil {
+			return exitNotRun, err
+		}
+	}
+	r.note("the operator orders the service back to v2")
+	if err := r.order("v2", controlNodes...); err != nil {
+		// No acknowledgement, so that nothing can be lost.
+		r.note("%v", err)
+		return r.verdict(0, "acknowledged orders of a rollout are gone")
 	}
-	return stop, done
+	return r.closeAndReadBack()
 }
 
-// runCounts counts the runs since a time by searcher.
-func (r *rig) runCounts(since time.Duration) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	counts := map[string]int{}
-	for _, run := range r.runs {
-		if run.at >= since {
-			counts[run.searcher]++
+// caseRolloutMeet: a control node misses that a service is moved from v2 to v3;
+// the operator's order back to v2 meets it as it returns.
+func caseRolloutMeet(record string) (int, error) {
+	r, first, err := rolloutRig(record)
+	if r != nil {
+		defer r.close()
+	}
+	if err != nil {
+		return exitNotRun, err
+	}
+	stop, done := r.traffic()
+	defer func() {
+		close(stop)
+		done.Wait()
+	}()
+	second, err := r.moveTo("v2", 110, first, controlNodes...)
+	if err != nil {
+		return exitNotRun, err
+	}
+	if r.trouble {
+		r.note("loss: c3 loses power")
+		r.kill("c3")
+	}
+	if _, err := r.moveTo("v3", 120, second, "c1", "c2"); err != nil {
+		return exitNotRun, err
+	}
+	if _, err := r.versionSearchers("v2", 130); err != nil {
+		return exitNotRun, err
+	}
+	time.Sleep(max(0, orderAge-r.now()))
+	if r.trouble {
+		r.note("c3 is back")
+		if err := r.startNode("c3", false); err != nil {
+			return exitNotRun, err
 		}
 	}
-	return fmt.Sprint(counts)
+	r.note("the operator orders the service back to v2, at c3")
+	body := []byte(`{"Service":"runnerpages","TargetVersion":"v2","DurationS":12}`)
+	acknowledged := false
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end) && !acknowledged; time.Sleep(time.Millisecond) {
+		status, answer, err := r.operatorCall("c3", http.MethodPost, "/-/rollouts", 0, body, time.Second)
+		acknowledged = err == nil && status == http.StatusOK
+		if err == nil {
+			r.note("operator POST %s to c3: status %d %s", body, status, strings.TrimSpace(string(answer)))
+		}
+	}
+	if !acknowledged {
+		return r.verdict(0, "acknowledged orders of a rollout are gone")
+	}
+	return r.closeAndReadBack()
 }
