--- a/review/standins/keys.go
+++ b/review/standins/keys.go
@@ -190,6 +190,7 @@
 		if err := r.startNode("c3", false); err != nil {
 			return exitNotRun, err
 		}
+		time.Sleep(500 * time.Millisecond)
 		r.signal("f1", syscall.SIGCONT)
 	}
 	late := r.judgeKeys(acknowledged, 9*time.Second)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -12,6 +12,7 @@
 	"rollout-back": caseRolloutBack,
 	"rollout-lone": caseRolloutLone,
 	"rollout-meet": caseRolloutMeet,
+	"ceiling":      caseCeiling,
 }
 
 func main() {
--- a/review/standins/traffic.go
+++ b/review/standins/traffic.go
@@ -20,7 +20,8 @@
 					return
 				case <-time.After(60 * time.Millisecond):
 				}
-				r.ask("f1", http.MethodGet, pagesHost, "/card/1", nil, nil, 1500*time.Millisecond)
+				a := r.ask("f1", http.MethodGet, pagesHost, "/card/1", nil, nil, 1500*time.Millisecond)
+				r.note("client: %s sent at %.3f, status %d err %v, stamp %s", a.id, a.sent.Seconds(), a.status, a.err, a.header.Get("Swiftswitch-Server-Stamp"))
 			}
 		}()
 	}
