--- a/review/standins/ceiling.go
+++ b/review/standins/ceiling.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -132,13 +133,14 @@
 	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
+	var answers answerCounts
 	defer clients.Wait()
 	defer close(stop)
-	for i := range 120 {
+	for i := range 400 {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			r.askPhotos(fronts[i%len(fronts)], i, stop)
+			r.askPhotos(fronts[i%len(fronts)], i, &answers, stop)
 		}()
 	}
 	time.Sleep(6 * time.Second)
@@ -182,7 +184,7 @@
 			}
 		}
 		media.mu.Unlock()
-		r.note("arrivals at the origin in second %d: %d", int(at.Seconds()), n)
+		r.note("second %d: arrivals at the origin %d; clients' requests sent, by front and answer: %s", int(at.Seconds()), n, answers.second(int(at.Seconds())))
 	}
 	if float64(before) > bound {
 		r.note("BROKEN: %d requests within %v, %.0f are allowed", before, ceilingWindow, bound)
@@ -195,8 +197,35 @@
 	return r.ask(front, http.MethodGet, mediaHost, "/photo/"+name, nil, nil, timeout)
 }
 
-// askPhotos asks for one object after the other, each a new one.
-func (r *rig) askPhotos(front string, number int, stop <-chan struct{}) {
+// answerCounts counts clients' requests by the second in which they were sent, by
+// front and by what was answered.
+type answerCounts struct {
+	mu     sync.Mutex
+	counts map[int]map[string]int
+}
+
+func (c *answerCounts) add(front string, a answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[int]map[string]int{}
+	}
+	second := int(a.sent.Seconds())
+	if c.counts[second] == nil {
+		c.counts[second] = map[string]int{}
+	}
+	c.counts[second][fmt.Sprintf("%s/%d", front, a.status)]++
+}
+
+func (c *answerCounts) second(second int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprint(c.counts[second])
+}
+
+// askPhotos asks for one object after the other, each a new one, and waits as it
+// is told after a refusal.
+func (r *rig) askPhotos(front string, number int, answers *answerCounts, stop <-chan struct{}) {
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
@@ -204,8 +233,9 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 		a := r.askPhoto(front, fmt.Sprintf("%d-%d", number, i), 6*time.Second)
-		if a.status == http.StatusServiceUnavailable {
-			time.Sleep(100 * time.Millisecond)
+		answers.add(front, a)
+		if wait, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64); err == nil {
+			time.Sleep(time.Duration(wait * float64(time.Second)))
 		}
 	}
 }
