--- a/review/standins/rollout.go
+++ b/review/standins/rollout.go
@@ -265,6 +265,8 @@
 	if err != nil {
 		return exitNotRun, err
 	}
+	// The move to v3 ends shortly before the order back.
+	time.Sleep(max(0, orderAge-13*time.Second-r.now()))
 	if r.trouble {
 		r.note("loss: c3 loses power")
 		r.kill("c3")
