--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -56,14 +56,19 @@
 	instances []instance
 	runs      []searcherRun
 	nextID    int
+
+	// cutter cuts off the machine behind it, if there is one.
+	cutter *cutter
 }
 
 // process is one machine with its process.
 type process struct {
 	name, ip, role, zone string
 	seeds                []string
-	command              *exec.Cmd
-	done                 chan struct{}
+	// internalPort is another than the rig's where the machine is behind proxies.
+	internalPort int
+	command      *exec.Cmd
+	done         chan struct{}
 }
 
 // instance is an entry of the platform's list.
@@ -206,10 +211,14 @@
 	case "cache":
 		data = filepath.Join(r.dir, p.name, "data")
 	}
+	internalPort := r.internalPort
+	if p.internalPort != 0 {
+		internalPort = p.internalPort
+	}
 	return map[string]any{
 		"NodeName": p.name, "Role": p.role, "MachineClass": p.role, "Serves": serves, "IpAddress": p.ip,
 		"Zone": p.zone, "Region": "here", "Zones": map[string]string{"north": "here", "south": "here", "east": "here"},
-		"ListenAddresses": listen, "InternalPortRange": []int{r.internalPort, r.internalPort + 1},
+		"ListenAddresses": listen, "InternalPortRange": []int{internalPort, internalPort + 1},
 		"SeedNodes": p.seeds, "FirstStart": firstStart, "LossCounted": p.role == "control",
 		"Limits":        map[string]any{"CpuShare": 0.96, "CpuCores": 1, "MemoryMb": r.memoryMb[p.role], "FileDescriptors": 4096, "LinkSpeedMbps": 1000.0, "DiskMb": 128},
 		"DataDirectory": data, "Discovery": "cloud_api", "EntryKind": "virtual_ip", "HeartbeatIntervalMs": r.heartbeatMs,
