--- a/review/standins/rollout_cut.go
+++ b/review/standins/rollout_cut.go
@@ -34,13 +34,8 @@
 		return exitNotRun, err
 	}
 	// The rollout that c3 misses is to be short, so another node should carry it.
-	if strings.Contains(r.status("c3"), `"HoldsLease":true`) {
-		r.note("c3 is restarted, as it polls the platform; nothing is under way")
-		r.signal("c3", syscall.SIGTERM)
-		<-r.nodes["c3"].done
-		if err := r.startNode("c3", false); err != nil {
-			return exitNotRun, err
-		}
+	if err := r.yieldLease("c3"); err != nil {
+		return exitNotRun, err
 	}
 	if _, err := r.versionSearchers("v3", 120); err != nil {
 		return exitNotRun, err
@@ -79,3 +74,15 @@
 	}
 	return r.closeAndReadBack()
 }
+
+// yieldLease restarts a control node if it is the one that polls the platform, so
+// that another one does; nothing else is under way.
+func (r *rig) yieldLease(name string) error {
+	if !strings.Contains(r.status(name), `"HoldsLease":true`) {
+		return nil
+	}
+	r.note("%s is restarted, as it polls the platform", name)
+	r.signal(name, syscall.SIGTERM)
+	<-r.nodes[name].done
+	return r.startNode(name, false)
+}
