--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -12,6 +12,7 @@
 	"rollout-back": caseRolloutBack,
 	"rollout-cut":  caseRolloutCut,
 	"ceiling":      caseCeiling,
+	"burst":        caseBurst,
 }
 
 func main() {
--- a/review/standins/rig.go
+++ b/review/standins/rig.go
@@ -46,6 +46,8 @@
 	contracts   []string
 	tolerated   int
 	memoryMb    map[string]int
+	// descriptors are limits by role; those without one have 4,096.
+	descriptors map[string]uint64
 	deployment  string
 
 	recordMu sync.Mutex
@@ -215,12 +217,16 @@
 	if p.internalPort != 0 {
 		internalPort = p.internalPort
 	}
+	descriptors := uint64(4096)
+	if limit, limited := r.descriptors[p.role]; limited {
+		descriptors = limit
+	}
 	return map[string]any{
 		"NodeName": p.name, "Role": p.role, "MachineClass": p.role, "Serves": serves, "IpAddress": p.ip,
 		"Zone": p.zone, "Region": "here", "Zones": map[string]string{"north": "here", "south": "here", "east": "here"},
 		"ListenAddresses": listen, "InternalPortRange": []int{internalPort, internalPort + 1},
 		"SeedNodes": p.seeds, "FirstStart": firstStart, "LossCounted": p.role == "control",
-		"Limits":        map[string]any{"CpuShare": 0.96, "CpuCores": 1, "MemoryMb": r.memoryMb[p.role], "FileDescriptors": 4096, "LinkSpeedMbps": 1000.0, "DiskMb": 128},
+		"Limits":        map[string]any{"CpuShare": 0.96, "CpuCores": 1, "MemoryMb": r.memoryMb[p.role], "FileDescriptors": descriptors, "LinkSpeedMbps": 1000.0, "DiskMb": 128},
 		"DataDirectory": data, "Discovery": "cloud_api", "EntryKind": "virtual_ip", "HeartbeatIntervalMs": r.heartbeatMs,
 		"ActiveContracts": r.contracts, "ToleratedLosses": map[string]int{"Machines": r.tolerated, "Zones": 0, "Regions": 0},
 		"Bounds": r.bounds, "Deployment": r.deployment,
@@ -250,6 +256,11 @@
 	if err := p.command.Start(); err != nil {
 		return err
 	}
+	if limit, limited := r.descriptors[p.role]; limited {
+		if err := limitDescriptors(p.command.Process.Pid, limit); err != nil {
+			return err
+		}
+	}
 	r.note("start %s (%s)", name, p.ip)
 	done := make(chan struct{})
 	p.done = done
