--- a/review/standins/burst.go
+++ b/review/standins/burst.go
@@ -61,7 +61,7 @@
 }
 
 // clientTotals counts what clients with kept connections saw.
-type clientTotals struct{ connected, served, failed atomic.Int64 }
+type clientTotals struct{ connected, served, failed, closed atomic.Int64 }
 
 // keepConnection is a client that keeps one connection and sends a request now and
 // then. It leaves when stop is closed. After a failure it comes again, on a new
@@ -84,11 +84,18 @@
 		in := bufio.NewReader(conn)
 		for {
 			_ = conn.SetDeadline(time.Now().Add(shopDeadline))
-			if !r.exchange(conn, in) {
+			served, last := r.exchange(conn, in)
+			if served {
+				totals.served.Add(1)
+			} else {
 				totals.failed.Add(1)
+			}
+			if last {
+				totals.closed.Add(1)
+			}
+			if last || !served {
 				break
 			}
-			totals.served.Add(1)
 			rest := minRest + rand.N(maxRest-minRest)
 			select {
 			case <-stop:
@@ -108,23 +115,29 @@
 	}
 }
 
-// exchange sends one request on a connection and reads its answer.
-func (r *rig) exchange(conn net.Conn, in *bufio.Reader) (served bool) {
+// exchange sends one request on a connection and reads its answer. last is whether
+// the answer says that the connection ends with it.
+func (r *rig) exchange(conn net.Conn, in *bufio.Reader) (served, last bool) {
 	_, err := fmt.Fprintf(conn, "GET /status/1 HTTP/1.1\r\nHost: %s\r\nSwiftswitch-Request-Id: %s\r\nSwiftswitch-Deadline-Milliseconds: %d\r\n\r\n", shopHost, r.newRequestID(), shopDeadline.Milliseconds())
 	if err != nil {
-		return false
+		return false, false
 	}
 	response, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return false
+		return false, false
 	}
 	_, err = io.Copy(io.Discard, response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && !response.Close
+	return err == nil && response.StatusCode == http.StatusOK, response.Close
 }
 
 // caseBurst: many users come at once to a front, more than it has descriptors for,
 // and leave after some seconds.
 func caseBurst(record string) (int, error) {
+	// The clients need descriptors of their own.
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < 2*frontDescriptors {
+		return exitNotRun, fmt.Errorf("the clients may open %d files only (%v)", own.Cur, err)
+	}
 	r, err := newRig(record)
 	if err != nil {
 		return exitNotRun, err
@@ -177,6 +190,7 @@
 		}
 	}
 	go r.askReadiness("f1", stop)
+	go r.noteTotals(&totals, stop)
 	come(usualClients, 4*time.Second, stop)
 	time.Sleep(8 * time.Second)
 	r.note("usual traffic: %d clients keep a connection; served %d, failed %d", totals.connected.Load(), totals.served.Load(), totals.failed.Load())
@@ -195,6 +209,22 @@
 	return r.judgeShop()
 }
 
+// noteTotals notes once a second what the clients with kept connections saw, and how
+// many requests ran.
+func (r *rig) noteTotals(totals *clientTotals, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Second):
+		}
+		r.mu.Lock()
+		runs := len(r.runs)
+		r.mu.Unlock()
+		r.note("clients with kept connections: %d connected, %d requests served, %d failed, %d answers that ended their connection; %d runs at the searchers", totals.connected.Load(), totals.served.Load(), totals.failed.Load(), totals.closed.Load(), runs)
+	}
+}
+
 // askReadiness asks the front once a second whether it is ready, as the platform
 // does, and notes changes.
 func (r *rig) askReadiness(front string, stop <-chan struct{}) {
