A node without a majority acknowledges no order of a rollout

A control node that was cut off took an order for a copy of the last one by its own old state, before it looked whether it hears a majority.

Now decideOrder reads the newest state from a majority first, whatever the node knows: copies, conflicts and unknown services are judged by that state or a later one. It takes the place of the read that was done only where the own state spoke against the order.

TestNodeWithoutMajorityAcknowledgesNoOrder got 200 from a node alone on the sources before, and 503 now.

--- a/internal/control/rollout_api.go
+++ b/internal/control/rollout_api.go
@@ -95,27 +95,23 @@
 }
 
 // decideOrder returns nil once a majority has chosen the order, now or earlier.
-// After until nothing is proposed any more: a caller that gave up must not find
-// its order started later. An order is rejected only by what a majority knows.
+// Every outcome rests on a state that a majority confirmed after the call
+// arrived. After until nothing is proposed any more: a caller that gave up must
+// not find its order started later.
 func (c *rolloutController) decideOrder(order consensus.Rollout, until time.Time) error {
 	s := c.server
 	s.proposalLock.Lock()
 	defer s.proposalLock.Unlock()
-	fresh := false
+	if _, ok := s.readDuringProposal(until); !ok {
+		return ErrNoMajority
+	}
 	for attempt := 0; ; attempt++ {
 		state := s.State()
 		if done, err := c.orderSettled(state, order, until); done {
 			return err
 		}
 		if err := orderConflict(state, order); err != nil {
-			if fresh {
-				return err
-			}
-			// This node may be behind; a majority knows.
-			if _, fresh = s.readDuringProposal(until); !fresh {
-				s.backOff(attempt)
-			}
-			continue
+			return err
 		}
 		order.FromVersion = c.versionInForce(state, order.Service)
 		if time.Now().After(until) {
