Whether an order is a copy is decided in the log, not by a process's memory

Orders bear no name, and a copy was told by the time since the process had learned of an equal order, which began anew with each process: after restarts every order of before counted as decided just now. And an order that equals the last one of its service was dropped whatever its age.

Now the log decides when no copy of an order can be under way any more: Value.RetiredOrderSlot raises State.RetiredOrderSlot, part of the stored state and of every delta. A voter proposes it once it has known an order for 3 x AcknowledgeMs, so a restart only makes it later. Until then an equal order never acts: it gets 200 within AcknowledgeMs of the decided one (by the time that it bears) or where its version is in force, 409 while it runs, else 503. Afterwards it acts. An order that would make the state forget one that may still be copied gets 503. Retirements are proposed only while all control nodes that are heard announce a program that applies them, and an order bears the retirement that it was judged by.

In TestLateCopyOfAnEarlierOrderStartsNothing the last step waits for the retirement, since that is what makes the order a new one now; its other checks are as they were. TestPastOrdersAreBounded asks FindOrder in place of EarlierOrder, which also finds the last order, so the last one is expected too.

--- a/internal/consensus/delta.go
+++ b/internal/consensus/delta.go
@@ -26,6 +26,8 @@
 	CacheNodes []CacheNode `json:"Larders,omitempty"`
 	Rollouts   []Rollout   `json:"Rollouts,omitempty"`
 	PastOrders []PastOrder `json:"Ordered,omitempty"`
+	// RetiredOrderSlot is that of the state.
+	RetiredOrderSlot int64 `json:"OrdersRetired,omitempty"`
 }
 
 // decidedItem is an item of a list in the order of the slots that decided them.
@@ -56,6 +58,8 @@
 		CacheNodes:     s.CacheNodes,
 		Rollouts:       s.RolloutsAfter(from),
 		PastOrders:     itemsAfter(s.PastOrders, from),
+
+		RetiredOrderSlot: s.RetiredOrderSlot,
 	}
 	if from == NoSlot || s.VotersSlot > from {
 		d.Voters, d.VotersSlot = s.Voters, s.VotersSlot
@@ -95,6 +99,7 @@
 	for _, o := range itemsAfter(d.PastOrders, had) {
 		s.rememberOrder(o)
 	}
+	s.retireOrders(d.RetiredOrderSlot)
 	return s, true
 }
 
@@ -113,5 +118,7 @@
 		CacheNodes:     d.CacheNodes,
 		Rollouts:       d.Rollouts,
 		PastOrders:     d.PastOrders,
+
+		RetiredOrderSlot: d.RetiredOrderSlot,
 	}
 }
--- a/internal/consensus/past_order.go
+++ b/internal/consensus/past_order.go
@@ -9,26 +9,61 @@
 	maxPastOrders           = 512
 )
 
-// PastOrder remembers an order that was decided, to recognise a copy of it
-// that was delayed until another order of its service followed.
+// PastOrder remembers an order that was decided, to recognise a copy of it:
+// orders bear no name of their own, and a caller without a clear answer sends
+// its order again. It is remembered until it is retired.
 type PastOrder struct {
 	Service       string `json:"Service"`
 	TargetVersion string `json:"Target"`
 	DurationMs    int64  `json:"DurationMs"`
+	// OrderedAtMs is Rollout.OrderedAtMs of the order.
+	OrderedAtMs int64 `json:"At,omitempty"`
 	// Slot is the slot that decided it.
 	Slot int64 `json:"Slot"`
 }
 
-// EarlierOrder finds the slot of an order equal to o that is not the last one
-// of its service.
-func (s State) EarlierOrder(o Rollout) (slot int64, ok bool) {
-	last, _ := s.Rollout(o.Service)
+// sameOrder reports whether o may be a copy of the order that p remembers.
+func (p PastOrder) sameOrder(o Rollout) bool {
+	return p.Service == o.Service && p.TargetVersion == o.TargetVersion && p.DurationMs == o.DurationMs
+}
+
+// FindOrder finds the newest order equal to o that is not retired. Where ok is
+// false, o can't be a copy of an order that is remembered.
+func (s State) FindOrder(o Rollout) (past PastOrder, ok bool) {
 	for _, p := range slices.Backward(s.PastOrders) {
-		if p.Slot != last.OrderSlot && p.Service == o.Service && p.TargetVersion == o.TargetVersion && p.DurationMs == o.DurationMs {
-			return p.Slot, true
+		if p.Slot > s.RetiredOrderSlot && p.sameOrder(o) {
+			return p, true
 		}
 	}
-	return 0, false
+	return PastOrder{}, false
+}
+
+// OldestForgottenBy finds the order that a further order of a service would
+// make the state forget before it is retired; ok is false where there is room.
+func (s State) OldestForgottenBy(service string) (past PastOrder, ok bool) {
+	var ofService []PastOrder
+	for _, p := range s.PastOrders {
+		if p.Service == service {
+			ofService = append(ofService, p)
+		}
+	}
+	switch {
+	case len(ofService) >= maxPastOrdersPerService:
+		return ofService[0], true
+	case len(s.PastOrders) >= maxPastOrders:
+		return s.PastOrders[0], true
+	}
+	return PastOrder{}, false
+}
+
+// retireOrders forgets the orders that were decided up to a slot: no copy of
+// them can be under way any more, so an equal order is a new one.
+func (s *State) retireOrders(slot int64) {
+	if slot <= s.RetiredOrderSlot {
+		return
+	}
+	s.RetiredOrderSlot = slot
+	s.PastOrders = itemsAfter(s.PastOrders, slot)
 }
 
 // rememberOrder appends a decided order to a copy of the list. The oldest of
--- a/internal/consensus/rollout.go
+++ b/internal/consensus/rollout.go
@@ -40,7 +40,11 @@
 	TargetVersion string `json:"Target"`
 	// DurationMs is the time within which the target has to be found good.
 	DurationMs int64 `json:"DurationMs"`
-	Phase      Phase `json:"Phase"`
+	// OrderedAtMs is when the order was proposed, in Unix milliseconds by the
+	// clock of its proposer. It is 0 where an earlier version of the program
+	// decided the order.
+	OrderedAtMs int64 `json:"At,omitempty"`
+	Phase       Phase `json:"Phase"`
 	// Slot is the slot that decided the phase.
 	Slot int64 `json:"Slot,omitempty"`
 	// ElapsedMs is how much of the duration was over by then.
@@ -101,13 +105,14 @@
 }
 
 // applyRollout applies an order, or the next phase of one. An order beside a
-// running one changes nothing, nor does a step back or one of another order:
-// what is final stays so, whichever node proposes.
+// running one changes nothing, nor does a copy of the last order, a step back or
+// a phase of another order: what is final stays so, whichever node proposes.
 func (s *State) applyRollout(v Rollout) {
 	last, known := s.Rollout(v.Service)
 	switch {
 	case v.OrderSlot == 0:
-		if known && (last.Running() || last.SameOrder(v)) {
+		isCopy := known && last.SameOrder(v) && last.OrderSlot > s.RetiredOrderSlot
+		if isCopy || known && last.Running() {
 			return
 		}
 		s.startRollout(v)
@@ -128,7 +133,13 @@
 	if order.FromVersion == order.TargetVersion {
 		order.Phase = PhaseCompleted
 	}
-	s.rememberOrder(PastOrder{order.Service, order.TargetVersion, order.DurationMs, order.OrderSlot})
+	s.rememberOrder(PastOrder{
+		Service:       order.Service,
+		TargetVersion: order.TargetVersion,
+		DurationMs:    order.DurationMs,
+		OrderedAtMs:   order.OrderedAtMs,
+		Slot:          order.OrderSlot,
+	})
 	s.storeRollout(order)
 }
 
--- a/internal/consensus/state.go
+++ b/internal/consensus/state.go
@@ -28,8 +28,12 @@
 	CacheNodes []CacheNode `json:"Larders,omitempty"`
 	// Rollouts holds each service's last order; the one changed last is at the end.
 	Rollouts []Rollout `json:"Rollouts,omitempty"`
-	// PastOrders holds the last few orders of each service, oldest first.
+	// PastOrders holds the last few orders of each service, oldest first, as
+	// far as they are not retired.
 	PastOrders []PastOrder `json:"Ordered,omitempty"`
+	// RetiredOrderSlot is the slot up to which orders are retired: no copy of
+	// one that was decided by then can be under way any more.
+	RetiredOrderSlot int64 `json:"OrdersRetired,omitempty"`
 }
 
 // Genesis is the state before the first slot, with the nodes at those
@@ -61,11 +65,14 @@
 	case len(v.Voters) > 0:
 		s.Voters, s.VotersSlot = v.Voters, s.Slot
 	case v.Rollout != nil:
+		s.retireOrders(v.RetiredOrderSlot)
 		s.applyRollout(*v.Rollout)
 	case len(v.CacheNodes) > 0 || v.NoCacheNodes:
 		s.CacheNodes = v.CacheNodes
 	case len(v.Purges) > 0:
 		s.applyPurges(v.Purges)
+	case v.RetiredOrderSlot > 0:
+		s.retireOrders(v.RetiredOrderSlot)
 	default:
 		s.applyChange(v)
 	}
--- a/internal/consensus/trace_test.go
+++ b/internal/consensus/trace_test.go
@@ -86,6 +86,8 @@
 	"rollout": {5, (*cluster).checkRollout},
 	// earlier-order A SERVICE TARGET/MS SLOT; slot 0: it is not known as an earlier one
 	"earlier-order": {5, (*cluster).checkEarlierOrder},
+	// order A SERVICE TARGET/MS SLOT; slot 0: no order that is not retired equals it
+	"order": {5, (*cluster).checkOrder},
 }
 
 func (c *cluster) play(words []string) error {
@@ -119,7 +121,10 @@
 		from, rest, _ := strings.Cut(words[2], "/")
 		order, err := rolloutOrder(words[1], rest)
 		order.FromVersion = from
-		return &Value{Rollout: &order}, err
+		return &Value{Rollout: &order, RetiredOrderSlot: base.RetiredOrderSlot}, err
+	case "retire":
+		slot, err := strconv.ParseInt(words[1], 10, 64)
+		return &Value{RetiredOrderSlot: slot}, err
 	case "phase":
 		r, _ := base.Rollout(words[1])
 		return &Value{Rollout: &Rollout{OrderSlot: r.OrderSlot, Service: words[1], Phase: Phase(words[2])}}, nil
@@ -248,9 +253,29 @@
 	if err != nil {
 		return err
 	}
-	slot, ok := c.acceptors[words[1]].State.EarlierOrder(order)
-	if fmt.Sprint(slot) != words[4] || ok != (slot > 0) {
-		return fmt.Errorf("slot %d, %v", slot, ok)
+	state := c.acceptors[words[1]].State
+	last, _ := state.Rollout(order.Service)
+	slot := int64(0)
+	for _, p := range state.PastOrders {
+		if p.Slot != last.OrderSlot && p.sameOrder(order) {
+			slot = p.Slot
+		}
+	}
+	if fmt.Sprint(slot) != words[4] {
+		return fmt.Errorf("slot %d", slot)
+	}
+	return nil
+}
+
+// checkOrder checks which unretired order equals another.
+func (c *cluster) checkOrder(words []string) error {
+	order, err := rolloutOrder(words[2], words[3])
+	if err != nil {
+		return err
+	}
+	past, ok := c.acceptors[words[1]].State.FindOrder(order)
+	if fmt.Sprint(past.Slot) != words[4] || ok != (past.Slot > 0) {
+		return fmt.Errorf("slot %d, %v", past.Slot, ok)
 	}
 	return nil
 }
--- a/internal/consensus/value.go
+++ b/internal/consensus/value.go
@@ -15,9 +15,17 @@
 	Zone string `json:"Zone"`
 }
 
+// Format numbers the kinds of values that State.Apply of this program knows. An
+// earlier program takes a value of a kind that it does not know for one that
+// changes nothing, so such a value must not be proposed while a node runs it.
+//
+// Format 1 added RetiredOrderSlot.
+const Format = 1
+
 // Value is what a slot decides: one of a configuration change, a set of
-// voters, a batch of purges, the set of cache nodes, and a step of a rollout.
-// State.Apply looks at them in the order Voters, Rollout, CacheNodes, Purges.
+// voters, a batch of purges, the set of cache nodes, a step of a rollout, and
+// the retirement of past orders. State.Apply looks at them in the order Voters,
+// Rollout, CacheNodes, Purges, RetiredOrderSlot.
 type Value struct {
 	// Version and Body are the new configuration; it builds on BaseVersion.
 	Version     int64  `json:"Version,omitempty"`
@@ -34,6 +42,10 @@
 	NoCacheNodes bool `json:"NoLarders,omitempty"`
 	// Rollout is an order (OrderSlot is 0), or the next phase of one.
 	Rollout *Rollout `json:"Rollout,omitempty"`
+	// RetiredOrderSlot retires the orders that were decided up to that slot. An
+	// order bears that of the state which it was proposed on, so that every node
+	// comes to the same result.
+	RetiredOrderSlot int64 `json:"OrdersRetired,omitempty"`
 }
 
 // Equal reports whether two values are the same in every field.
--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -22,6 +22,11 @@
 	// ErrTooFewReplicas: the change is decided, but on too few disks to bear
 	// the losses that the settings name.
 	ErrTooFewReplicas = errors.New("too few nodes hold it yet")
+	// ErrOrderMayBeCopy: an order equals one that was decided a while ago, and
+	// can't be told from a copy of it.
+	ErrOrderMayBeCopy = errors.New("an equal order was decided lately, and this may be a copy of it: send it again later, or with another DurationS")
+	// ErrTooManyOrders: the state has no room to remember another order.
+	ErrTooManyOrders = errors.New("too many orders were decided lately")
 	// ErrTooManyPurges: the queue of purges is full.
 	ErrTooManyPurges = errors.New("too many purges wait")
 	// ErrNotAgreed: no change of the cache nodes was decided.
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -30,8 +30,8 @@
 func (s *Server) SetFrontCounts(n int)                 { s.fronts.count, s.fronts.persistedCount = n, n }
 func (s *Server) InheritedFrontCount() int             { return s.fronts.inheritedCount }
 func (s *Server) PersistedFrontCount() int             { return s.fronts.persistedCount }
-func (s *Server) OrderKnownAt() map[int64]time.Duration {
-	return s.rollouts.orderKnownAt
+func (s *Server) OrderKnownSince() map[int64]time.Duration {
+	return s.orders.knownSince
 }
 func (s *Server) Evaluators() map[int64]*rollout.Evaluator { return s.rollouts.evaluators }
 
@@ -83,3 +83,11 @@
 	defer l.mu.Unlock()
 	return len(l.urgent) + len(l.normal)
 }
+
+// SetPeerFormat has a node heard just now whose program has that format. It runs on the loop.
+func (s *Server) SetPeerFormat(ip string, format int) {
+	s.peers.byIP[ip] = peerState{id: ip, heardAt: s.host.Now(), format: format}
+}
+
+// DueRetirement is the slot up to which orders are to be retired now. It runs on the loop.
+func (s *Server) DueRetirement() int64 { return s.orders.due(s.host.Now()) }
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"swiftswitch/internal/config"
+	"swiftswitch/internal/consensus"
 	"swiftswitch/internal/events"
 	"swiftswitch/internal/lease"
 	"swiftswitch/internal/nodeapi"
@@ -42,6 +43,7 @@
 		RosterRevision: s.fronts.ownRoster().Revision,
 		ElapsedMs:      s.rollouts.elapsedByOrder(),
 		Draining:       s.host.Draining.Load(),
+		Format:         consensus.Format,
 	}
 }
 
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -105,12 +105,13 @@
 		t.Errorf("a late copy: %d", status)
 	}
 	last("v3", consensus.PhaseCompleted)
-	// Long after, it is a new order.
+	// Long after, the log decides that it is a new order.
 	h.Loop().Call(func() {
-		for slot := range h.OrderKnownAt() {
-			h.OrderKnownAt()[slot] -= 4 * time.Duration(h.Host().Settings().Bounds.AcknowledgeMs) * time.Millisecond
+		for slot := range h.OrderKnownSince() {
+			h.OrderKnownSince()[slot] -= 4 * time.Duration(h.Host().Settings().Bounds.AcknowledgeMs) * time.Millisecond
 		}
 	})
+	w.Eventually("the orders are retired", func() bool { return len(h.State().PastOrders) == 0 })
 	if status := order("v2"); status != 200 {
 		t.Errorf("the order anew: %d", status)
 	}
--- a/internal/control/peer_table.go
+++ b/internal/control/peer_table.go
@@ -18,6 +18,8 @@
 	zone    string
 	// slot is the last decided slot that the node knew.
 	slot int64
+	// format is the consensus.Format of its program.
+	format int
 }
 
 // peerTable holds what this node knows of the other control nodes. It belongs
@@ -50,6 +52,7 @@
 		leaving: heartbeat.Draining,
 		zone:    heartbeat.Zone,
 		slot:    heartbeat.DecidedSlot,
+		format:  heartbeat.Format,
 	}
 	p.detector.OnHeartbeat(heartbeat.ID, now)
 }
@@ -72,6 +75,17 @@
 	return peer, true
 }
 
+// allApply reports whether the programs of all nodes that were heard apply the
+// values of a format.
+func (p *peerTable) allApply(format int) bool {
+	for _, peer := range p.byIP {
+		if peer.format < format {
+			return false
+		}
+	}
+	return true
+}
+
 // staying lists the addresses of the nodes that don't drain and were heard
 // within the time given.
 func (p *peerTable) staying(now, within time.Duration) (ips []string) {
--- a/internal/control/rollout_api.go
+++ b/internal/control/rollout_api.go
@@ -18,10 +18,6 @@
 // maxRolloutBytes bounds the body of an order.
 const maxRolloutBytes = 16 << 10
 
-// duplicateOrderWindow, of Bounds.AcknowledgeMs, is how long after a decision a
-// copy of that order counts as one that was delayed on its way.
-const duplicateOrderWindow = 3
-
 // RolloutStatus is what the operator reads about a service's last order.
 type RolloutStatus struct {
 	Service       string          `json:"Service"`
@@ -94,64 +90,87 @@
 	return nil
 }
 
-// decideOrder returns nil once a majority has chosen the order, now or earlier.
-// Every outcome rests on a state that a majority confirmed after the call
-// arrived. After until nothing is proposed any more: a caller that gave up must
-// not find its order started later.
+// decideOrder returns nil once a majority has chosen the order: now, or earlier
+// where it is a copy. Every outcome rests on a state that a majority confirmed
+// after the call arrived. After until nothing is proposed any more: a caller
+// that gave up must not find its order started later.
 func (c *rolloutController) decideOrder(order consensus.Rollout, until time.Time) error {
 	s := c.server
 	s.proposalLock.Lock()
 	defer s.proposalLock.Unlock()
-	if _, ok := s.readDuringProposal(until); !ok {
+	confirmed, ok := s.readDuringProposal(until)
+	if !ok {
 		return ErrNoMajority
 	}
 	for attempt := 0; ; attempt++ {
 		state := s.State()
-		if done, err := c.orderSettled(state, order, until); done {
-			return err
+		if past, ok := state.FindOrder(order); ok {
+			if past.Slot > confirmed.Slot {
+				return nil // it was chosen since the call arrived
+			}
+			return c.repeatedOrder(state, past)
 		}
-		if err := orderConflict(state, order); err != nil {
+		if err := c.orderConflict(state, order, until); err != nil {
 			return err
 		}
 		order.FromVersion = c.versionInForce(state, order.Service)
-		if time.Now().After(until) {
-			continue
-		}
-		if !s.proposeUntil(state, &consensus.Value{Rollout: &order}, until) {
+		order.OrderedAtMs = time.Now().UnixMilli()
+		value := &consensus.Value{Rollout: &order, RetiredOrderSlot: state.RetiredOrderSlot}
+		if !s.proposeUntil(state, value, until) {
 			s.backOff(attempt)
 		}
 	}
 }
 
-// orderSettled reports whether nothing is left to propose for an order: it was
-// decided already, or can't be decided here and in time.
-func (c *rolloutController) orderSettled(state consensus.State, order consensus.Rollout, until time.Time) (done bool, _ error) {
-	last, known := state.Rollout(order.Service)
+// repeatedOrder settles an order that equals one that is not retired: it is a
+// copy of that one, or a new order that came too soon. It is acknowledged only
+// where that is true of both: a copy was chosen, and a new order is in force.
+func (c *rolloutController) repeatedOrder(state consensus.State, past consensus.PastOrder) error {
+	last, _ := state.Rollout(past.Service)
+	isLast := last.OrderSlot == past.Slot
 	switch {
-	case known && last.SameOrder(order):
-		return true, nil
-	case time.Now().After(until):
-		return true, ErrNotInTime
-	case c.server.isolated():
-		return true, ErrNoMajority
-	case c.isDuplicate(state, order):
-		events.Log(events.RolloutOrderStale, "service", order.Service, "to", order.TargetVersion)
-		return true, nil
+	case wasOrderedLately(past, time.Now(), c.server.host.Settings().Bounds.AcknowledgeMs):
+		if !isLast {
+			events.Log(events.RolloutOrderStale, "service", past.Service, "to", past.TargetVersion)
+		}
+		return nil
+	case isLast && last.Phase == consensus.PhaseCompleted:
+		return nil
+	case isLast && last.Running():
+		return &RolloutInProgressError{TargetVersion: last.TargetVersion}
 	}
-	return false, nil
+	return ErrOrderMayBeCopy
 }
 
-// orderConflict returns why an order can't start in a state.
-func orderConflict(state consensus.State, order consensus.Rollout) error {
-	if last, known := state.Rollout(order.Service); known && last.Running() {
+// orderConflict returns why an order can't start in a state, or not any more.
+func (c *rolloutController) orderConflict(state consensus.State, order consensus.Rollout, until time.Time) error {
+	last, known := state.Rollout(order.Service)
+	switch {
+	case time.Now().After(until):
+		return ErrNotInTime
+	case c.server.isolated():
+		return ErrNoMajority
+	case known && last.Running():
 		return &RolloutInProgressError{TargetVersion: last.TargetVersion}
-	}
-	if !hasService(state, order.Service) {
+	case !hasService(state, order.Service):
 		return ErrUnknownService
+	case c.wouldForget(state, order.Service):
+		return ErrTooManyOrders
 	}
 	return nil
 }
 
+// wouldForget reports whether a further order of a service would make the state
+// forget one of which a copy may still be under way.
+func (c *rolloutController) wouldForget(state consensus.State, service string) (forgets bool) {
+	past, ok := state.OldestForgottenBy(service)
+	if !ok {
+		return false
+	}
+	c.server.loop.Call(func() { forgets = c.server.orders.mayBeCopied(past) })
+	return forgets
+}
+
 // versionInForce is the version that an order of the service replaces: the one
 // that its last order left in force, or without any order the one that the
 // endpoint table began with.
@@ -167,19 +186,6 @@
 	return version
 }
 
-// isDuplicate reports whether an order is a copy of an earlier one of its
-// service that was decided so lately that the copy may only now have arrived.
-func (c *rolloutController) isDuplicate(state consensus.State, order consensus.Rollout) bool {
-	slot, ok := state.EarlierOrder(order)
-	if !ok {
-		return false
-	}
-	var knownAt time.Duration
-	c.server.loop.Call(func() { knownAt = c.orderKnownAt[slot] })
-	host := c.server.host
-	return host.Now()-knownAt < config.Milliseconds(host.Settings().Bounds.AcknowledgeMs, duplicateOrderWindow)
-}
-
 // hasService reports whether the configuration in force names a service.
 func hasService(state consensus.State, service string) bool {
 	configuration, err := config.DecodeConfiguration([]byte(state.Body))
--- a/internal/control/rollout_controller.go
+++ b/internal/control/rollout_controller.go
@@ -48,8 +48,6 @@
 	evaluators map[int64]*rollout.Evaluator
 	// phaseKnownAt is when this incarnation learned an order's current phase.
 	phaseKnownAt map[int64]knownPhase
-	// orderKnownAt is when this incarnation learned of past orders, by slot.
-	orderKnownAt map[int64]time.Duration
 	// reportFilters drop late and repeated reports, by front.
 	reportFilters map[string]*rollout.ReportFilter
 	// peerReports hold what other control nodes sent last about their fronts, by identity.
@@ -85,7 +83,6 @@
 		totals:        rollout.NewAggregator(),
 		evaluators:    map[int64]*rollout.Evaluator{},
 		phaseKnownAt:  map[int64]knownPhase{},
-		orderKnownAt:  map[int64]time.Duration{},
 		reportFilters: map[string]*rollout.ReportFilter{},
 		peerReports:   map[string]peerReport{},
 		frontReports:  map[string]frontReport{},
@@ -310,16 +307,6 @@
 func (c *rolloutController) apply() {
 	now := c.server.host.Now()
 	state := c.server.acceptor.State
-	orderKnownAt := map[int64]time.Duration{}
-	for _, order := range state.PastOrders {
-		at, known := c.orderKnownAt[order.Slot]
-		if !known {
-			at = now
-		}
-		orderKnownAt[order.Slot] = at
-	}
-	c.orderKnownAt = orderKnownAt
-
 	phaseKnownAt := map[int64]knownPhase{}
 	previous := c.phaseKnownAt
 	c.phaseKnownAt = phaseKnownAt
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -51,9 +51,11 @@
 	watch      *watchHandler
 	// unreachable collects the fronts' reports of endpoints that do not answer.
 	unreachable *unreachableTable
-	// purges and rollouts have operators' orders decided; rollouts carries them on.
+	// purges and rollouts have operators' orders decided; rollouts carries them
+	// on, and orders tells copies of past orders from new ones.
 	purges   *purgeController
 	rollouts *rolloutController
+	orders   *orderRetirer
 
 	// ordersInFlight counts the operators' changes that this node works on;
 	// closing: it takes no more of them, since it drains.
@@ -104,9 +106,11 @@
 	s.tables.candidate = s.pollLease.Candidate
 	s.poller = newDiscoveryPoller(s)
 	s.rollouts = newRolloutController(s, stored.RolloutClock, n.Now())
+	s.orders = newOrderRetirer(s)
 	s.handlers = s.internalAPI()
 	s.onVotersRestored()
 	s.rollouts.apply()
+	s.orders.apply()
 	return s
 }
 
@@ -122,6 +126,7 @@
 	go s.finishAcceptedLoop()
 	go s.purges.run()
 	go s.rollouts.run()
+	go s.orders.run()
 }
 
 // onVotersRestored follows the voters of the state; see replicaOwner.
@@ -138,6 +143,7 @@
 	consecutive := learned.VotersSlot == old.Slot+1
 	s.pollLease.voter.SetVoters(learned.VotersSlot, learned.IsVoter(s.acceptor.ID), consecutive, s.host.Now())
 	s.rollouts.apply()
+	s.orders.apply()
 	if learned.Version != old.Version {
 		s.versions.invalidate()
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -96,6 +96,7 @@
 	{CUSUMAlarmDismissed, "cusum-alarm-dismissed", LevelInfo, "A control chart signalled, but one searcher alone does worse or the new version does better, so the chart starts again from zero."},
 	{CanaryHalted, "canary-halted", LevelWarn, "What this front measured itself speaks against a new version, and it sends it nothing more, whatever other nodes see; if it is the only one, look at its links."},
 	{RolloutOrderStale, "rollout-order-stale", LevelInfo, "A copy of an earlier order arrived after another order for its service; it is acknowledged again and starts nothing."},
+	{RolloutOrdersRetired, "rollout-orders-retired", LevelInfo, "A quorum chose that no copy of the orders up to a slot can be under way any more, so that an equal order is a new one."},
 }
 
 // entries is the catalogue by number.
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -86,11 +86,12 @@
 
 // Rollouts of versions of endpoints.
 const (
-	RolloutAccepted     Event = 8001
-	RolloutPhaseChanged Event = 8002
-	RolloutRejected     Event = 8003
-	CUSUMAlarm          Event = 8004
-	CUSUMAlarmDismissed Event = 8005
-	CanaryHalted        Event = 8006
-	RolloutOrderStale   Event = 8007
+	RolloutAccepted      Event = 8001
+	RolloutPhaseChanged  Event = 8002
+	RolloutRejected      Event = 8003
+	CUSUMAlarm           Event = 8004
+	CUSUMAlarmDismissed  Event = 8005
+	CanaryHalted         Event = 8006
+	RolloutOrderStale    Event = 8007
+	RolloutOrdersRetired Event = 8008
 )
--- a/internal/nodeapi/heartbeat.go
+++ b/internal/nodeapi/heartbeat.go
@@ -43,4 +43,6 @@
 	// RosterRevision is the revision of the sender's FrontRoster. A receiver
 	// that holds another one fetches it on PathFrontRoster.
 	RosterRevision int64 `json:"Roll"`
+	// Format is consensus.Format of the sender's program, 0 where it has none.
+	Format int `json:"Format,omitempty"`
 }
