A control node that has just started claims no majority

The silence of a voter that was never heard counted from the process's own start, so for two heartbeats a node alone told fronts that it hears a majority, and they confirmed their keys by that.

Now LastHeard says whether a node was heard at all, and a majority is counted of nodes that this process has heard. The check of SilentFor for a node that was never heard is replaced by one that it is named as such.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -184,16 +184,32 @@
 	return own.IP <= ip
 }
 
+// majorityHeardAt is the latest time since which this process has heard a
+// majority of the voters, itself included. ok is false where it never heard so
+// many of them: no time stands for that, least of all the start. It runs on loop.
+func (s *Server) majorityHeardAt(now time.Duration) (at time.Duration, ok bool) {
+	voters := s.acceptor.State.Voters
+	var heardAt []time.Duration
+	for _, v := range voters {
+		if v.ID == s.acceptor.ID {
+			heardAt = append(heardAt, now)
+		} else if at, heard := s.pollLease.LastHeard(v.ID); heard {
+			heardAt = append(heardAt, at)
+		}
+	}
+	quorum := s.acceptor.State.Quorum()
+	if len(voters) == 0 || len(heardAt) < quorum {
+		return 0, false
+	}
+	slices.Sort(heardAt)
+	return heardAt[len(heardAt)-quorum], true
+}
+
 // lacksMajority reports whether this node has not heard a majority of the voters
 // lately. It runs on loop.
 func (s *Server) lacksMajority(now time.Duration) bool {
-	heard := 0
-	for _, v := range s.acceptor.State.Voters {
-		if v.ID == s.acceptor.ID || s.pollLease.SilentFor(v.ID, now) < s.host.Heartbeats(majorityHeardHeartbeats) {
-			heard++
-		}
-	}
-	return heard < len(s.acceptor.State.Voters)/2+1
+	at, ok := s.majorityHeardAt(now)
+	return !ok || now-at >= s.host.Heartbeats(majorityHeardHeartbeats)
 }
 
 // isolated reports whether this node can't settle anything now, because it lacks
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -13,7 +13,7 @@
 		{Name: "control_durable_slot", Help: "Last decided slot on this node's disk.", Value: float64(status.DurableSlot)},
 		{Name: "control_behind_slots", Help: "Slots that other control nodes know beyond this one's.", Value: float64(status.BehindBy)},
 		{Name: "control_voters", Help: "Voters of the cluster.", Value: float64(len(status.Voters))},
-		{Name: "control_majority_age_seconds", Help: "How long ago a majority of the voters was heard.", Value: float64(status.MajorityAgeMs) / 1000},
+		{Name: "control_majority_age_seconds", Help: "How long ago a majority of the voters was heard; below 0 where it never was since the start.", Value: float64(status.MajorityAgeMs) / 1000},
 		{Name: "control_lease_epoch", Help: "Epoch of the newest lease to poll the platform's list.", Value: float64(status.LeaseEpoch)},
 		{Name: "control_endpoints", Help: "Endpoints in the table.", Value: float64(status.Endpoints)},
 		{Name: "control_watchers", Help: "Fronts and cache nodes that watch this node.", Value: float64(len(status.FrontSlots))},
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"swiftswitch/internal/consensus"
@@ -41,7 +40,8 @@
 	// VotersSlot is the slot that decided the voters.
 	VotersSlot int64 `json:"VotersSlot"`
 	// MajorityAgeMs is how long ago a majority of the voters, this node
-	// included, was last heard. Isolated reports that it is too long for this
+	// included, was last heard, below 0 where it never was since the start.
+	// Isolated reports that it is too long for this
 	// node to have anything decided.
 	MajorityAgeMs int64 `json:"MajorityAgeMs"`
 	Isolated      bool  `json:"Isolated,omitempty"`
@@ -69,6 +69,9 @@
 	Rollouts []RolloutStatus `json:"Rollouts,omitempty"`
 }
 
+// neverHeard is MajorityAgeMs of a node that never heard a majority.
+const neverHeard = -1
+
 // Status reports the state of the server. It must not be called on the loop.
 func (s *Server) Status() *Status {
 	status := &Status{}
@@ -113,14 +116,12 @@
 	status.IsVoter = state.IsVoter(s.acceptor.ID)
 	status.VotersSlot = state.VotersSlot
 	status.Isolated = s.lacksMajority(now)
-	var silences []time.Duration
 	for _, voter := range state.Voters {
 		status.Voters = append(status.Voters, voter.ID+"@"+voter.IP)
-		silences = append(silences, s.pollLease.SilentFor(voter.ID, now))
 	}
-	slices.Sort(silences)
-	if len(silences) > 0 {
-		status.MajorityAgeMs = silences[len(silences)/2].Milliseconds()
+	status.MajorityAgeMs = neverHeard
+	if at, ok := s.majorityHeardAt(now); ok {
+		status.MajorityAgeMs = (now - at).Milliseconds()
 	}
 	for _, peer := range s.peers.byIP {
 		if now-peer.heardAt < s.host.Heartbeats(peerSlotTTL) {
--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -126,16 +126,11 @@
 	return id == c.Self || heard && now-at < c.leaseDuration
 }
 
-// SilentFor is for how long a node has not been heard. The silence of a node
-// that was never heard counts from this node's start.
-func (c *Candidate) SilentFor(id string, now time.Duration) time.Duration {
-	if id == c.Self {
-		return 0
-	}
-	if at, heard := c.lastHeartbeat[id]; heard {
-		return now - at
-	}
-	return now - c.startedAt
+// LastHeard is when another node was heard last. heard is false for a node that
+// this process never heard, whatever it may have heard in an earlier run.
+func (c *Candidate) LastHeard(id string) (at time.Duration, heard bool) {
+	at, heard = c.lastHeartbeat[id]
+	return at, heard
 }
 
 // PreferredHolder is the first voter that is alive and eligible, or "" if there is none.
--- a/internal/lease/candidate_test.go
+++ b/internal/lease/candidate_test.go
@@ -191,7 +191,10 @@
 	if _, ok := c.NextRequest(9 * lease); ok {
 		t.Fatal("a request bears an incarnation that is not on disk")
 	}
-	if c.SilentFor("c", 9*lease) != 9*lease {
-		t.Fatal("a node that was never heard is not silent from the start on")
+	if at, heard := c.LastHeard("c"); heard {
+		t.Fatalf("a node that was never heard was heard at %v", at)
+	}
+	if at, heard := c.LastHeard("a"); !heard || at != 9*lease {
+		t.Fatalf("a node was heard at %v: %v", at, heard)
 	}
 }
