A front accepts keys only after a first confirmation

The time of the last confirmation began as 0, which on the clock of the process is its start: a front that nobody had confirmed counted as confirmed when it started.

Now such times begin as never (latestTime). A version that is announced before it is in force confirms the keys as of its announcement once it is in force, so that the first confirmation needs no further long poll. The last contact with a majority had the same fault, for traffic splits and for shares of rate limits.

TestKeysConfirmed has a front that has just started, whose keys were accepted before; its other cases are as they were, but that one that was never confirmed is named as such. TestQuotaShare records a contact, and TestQuotaShareWithoutMajority wants no share before the first.

--- a/internal/front/cache_nodes_test.go
+++ b/internal/front/cache_nodes_test.go
@@ -43,7 +43,9 @@
 			h := newTestHost(t, c.heartbeatMs)
 			watcher := &controlWatcher{}
 			watcher.frontCount.Store(c.fronts)
-			roster := &cacheNodeRoster{host: h, majority: &majorityContact{host: h}, watcher: watcher, isCacheNode: c.isCacheNode}
+			majority := &majorityContact{host: h}
+			majority.record()
+			roster := &cacheNodeRoster{host: h, majority: majority, watcher: watcher, isCacheNode: c.isCacheNode}
 			for _, list := range c.lists {
 				roster.set(list)
 			}
@@ -55,12 +57,17 @@
 }
 
 // A node without contact with a majority stops fetching before the control
-// nodes give its share to others.
+// nodes give its share to others. Guards against a removed cache node that
+// fetches, once it has started, by the old list of a control node alone.
 func TestQuotaShareWithoutMajority(t *testing.T) {
 	h := newTestHost(t, 0)
 	majority := &majorityContact{host: h}
 	roster := &cacheNodeRoster{host: h, majority: majority, watcher: &controlWatcher{}, isCacheNode: true}
 	roster.set(cacheNodesOf(testIP))
+	if share, ok := roster.quotaShare(); ok {
+		t.Fatalf("share %v before the first contact", share)
+	}
+	majority.record()
 	if share, ok := roster.quotaShare(); !ok || share != 1 {
 		t.Fatalf("share %v, %v, want 1", share, ok)
 	}
--- a/internal/front/construct.go
+++ b/internal/front/construct.go
@@ -179,6 +179,7 @@
 // subscribe connects the controllers to what they react to.
 func (s *Server) subscribe() {
 	s.watcher.onResponse = s.onWatchResponse
+	s.layouts.onVersion = s.keys.onVersion
 	s.endpoints.OnHealthy = s.layouts.onHealthy
 	s.endpoints.OnUnhealthy = s.layouts.onUnhealthy
 	s.endpoints.OnAttempt = s.rollouts.recordAttempt
--- a/internal/front/key_confirmation.go
+++ b/internal/front/key_confirmation.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"sync/atomic"
 	"time"
 
 	"swiftswitch/internal/config"
@@ -12,32 +11,52 @@
 // has confirmed are not accepted any more. The rest is for what is under way.
 const keyConfirmationRatio = 0.6
 
-// keyConfirmation remembers until when the configuration in force is known to
-// have been the newest. Where the settings say RevocationClosed, no key is
-// accepted for much longer without a further confirmation: it may have been
-// removed meanwhile. It is safe for concurrent use.
+// keyConfirmation remembers when the configuration in force was last known to be
+// the newest. Where the settings say RevocationClosed, no key is accepted for
+// much longer without a further confirmation, nor before the first one: it may
+// have been removed meanwhile.
 type keyConfirmation struct {
-	host *host.Host
-	// confirmedAt is a time of the node's monotonic clock.
-	confirmedAt atomic.Int64
+	host        *host.Host
+	confirmedAt latestTime
+	// awaited is a version that is not in force yet. It is owned by the
+	// server's loop.
+	awaited newestVersion
 }
 
-// confirm notes that the configuration in force was the newest at a time.
-func (k *keyConfirmation) confirm(at time.Duration) {
-	k.confirmedAt.Store(max(int64(at), k.confirmedAt.Load()))
+// newestVersion is a version that was the newest at a time.
+type newestVersion struct {
+	version int64
+	at      time.Duration
 }
 
-// isRecent reports whether keys may be accepted now.
+// onNewest takes the version that was the newest at a time, while another is in
+// force, which may be the same. It runs on the server's loop.
+func (k *keyConfirmation) onNewest(newest newestVersion, inForce int64) {
+	if newest.version > inForce {
+		k.awaited = newest
+		return
+	}
+	k.confirmedAt.advance(newest.at)
+}
+
+// onVersion follows a version that came into force. It runs on the server's loop.
+func (k *keyConfirmation) onVersion(inForce int64) {
+	if k.awaited.version > 0 && k.awaited.version <= inForce {
+		k.confirmedAt.advance(k.awaited.at)
+		k.awaited = newestVersion{}
+	}
+}
+
+// isRecent reports whether keys may be accepted now. It may be called from any goroutine.
 func (k *keyConfirmation) isRecent() bool {
-	bounds := k.host.Settings().Bounds
-	return areKeysConfirmed(bounds, k.host.Now(), time.Duration(k.confirmedAt.Load()))
+	return areKeysConfirmed(k.host.Settings().Bounds, k.host.Now(), &k.confirmedAt)
 }
 
 // areKeysConfirmed reports whether keys may be accepted at now that were last
 // confirmed at confirmedAt.
-func areKeysConfirmed(bounds *config.Bounds, now, confirmedAt time.Duration) bool {
+func areKeysConfirmed(bounds *config.Bounds, now time.Duration, confirmedAt *latestTime) bool {
 	if !bounds.RevocationClosed {
 		return true
 	}
-	return now-confirmedAt <= config.Milliseconds(bounds.RevocationMs, keyConfirmationRatio)
+	return confirmedAt.within(config.Milliseconds(bounds.RevocationMs, keyConfirmationRatio), now)
 }
--- a/internal/front/key_confirmation_test.go
+++ b/internal/front/key_confirmation_test.go
@@ -7,8 +7,12 @@
 	"swiftswitch/internal/config"
 )
 
+// never is the confirmation time of keys that nothing has confirmed.
+const never = time.Duration(-1)
+
 // Keys that nothing confirmed for most of RevocationMs are not accepted where
-// the settings say so.
+// the settings say so. Guards against a front that takes its own start for a
+// confirmation, and runs requests with keys that are long removed.
 func TestKeysConfirmed(t *testing.T) {
 	open := &config.Bounds{RevocationMs: 5000}
 	closed := &config.Bounds{RevocationMs: 5000, RevocationClosed: true}
@@ -18,15 +22,22 @@
 		now, confirmedAt time.Duration
 		want             bool
 	}{
-		{"open, never confirmed", open, time.Hour, 0, true},
+		{"open, never confirmed", open, time.Hour, never, true},
 		{"closed, just confirmed", closed, time.Hour, time.Hour, true},
 		{"closed, up to the limit", closed, time.Hour + 3*time.Second, time.Hour, true},
 		{"closed, past the limit", closed, time.Hour + 3*time.Second + time.Millisecond, time.Hour, false},
-		{"closed, never confirmed", closed, time.Hour, 0, false},
+		{"closed, confirmed at the start", closed, 3 * time.Second, 0, true},
+		{"closed, confirmed at the start, past the limit", closed, time.Hour, 0, false},
+		{"closed, never confirmed", closed, time.Hour, never, false},
+		{"closed, never confirmed, just started", closed, time.Millisecond, never, false},
 		{"closed, no time given", &config.Bounds{RevocationClosed: true}, time.Hour, time.Hour - 1, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if got := areKeysConfirmed(test.bounds, test.now, test.confirmedAt); got != test.want {
+			confirmed := &latestTime{}
+			if test.confirmedAt != never {
+				confirmed.advance(test.confirmedAt)
+			}
+			if got := areKeysConfirmed(test.bounds, test.now, confirmed); got != test.want {
 				t.Fatalf("confirmed: %v, want %v", got, test.want)
 			}
 		})
@@ -36,9 +47,24 @@
 // A confirmation that arrives late does not undo a later one.
 func TestConfirmationsOutOfOrder(t *testing.T) {
 	k := &keyConfirmation{host: newTestHost(t, 0)}
-	k.confirm(7 * time.Second)
-	k.confirm(5 * time.Second)
-	if got := time.Duration(k.confirmedAt.Load()); got != 7*time.Second {
-		t.Fatalf("confirmed at %v", got)
+	k.onNewest(newestVersion{3, 7 * time.Second}, 3)
+	k.onNewest(newestVersion{3, 5 * time.Second}, 3)
+	if at := k.confirmedAt.at.Load(); *at != 7*time.Second {
+		t.Fatalf("confirmed at %v", *at)
+	}
+}
+
+// A version that was the newest at a time confirms the keys once it is in force,
+// and not before: the version in force may still have a key that it removed.
+func TestConfirmationWaitsForTheVersion(t *testing.T) {
+	k := &keyConfirmation{host: newTestHost(t, 0)}
+	k.onNewest(newestVersion{4, 7 * time.Second}, 3)
+	k.onVersion(3)
+	if at := k.confirmedAt.at.Load(); at != nil {
+		t.Fatalf("version 3 is confirmed at %v", *at)
+	}
+	k.onVersion(5)
+	if at := k.confirmedAt.at.Load(); at == nil || *at != 7*time.Second {
+		t.Fatalf("version 5 is confirmed at %v", at)
 	}
 }
--- a/internal/front/layout_controller.go
+++ b/internal/front/layout_controller.go
@@ -37,6 +37,8 @@
 	endpoints *upstream.Pool
 	frontend  *frontend.Handler
 	progress  *progressTracker
+	// onVersion is called on loop when another version came into force.
+	onVersion func(version int64)
 	// defaultLimits hold where the configuration sets no limits for clients.
 	defaultLimits routing.Limits
 
@@ -150,6 +152,7 @@
 	c.frontend.SetSnapshot(snapshot)
 	if routes.Version != c.currentVersion {
 		c.currentVersion, c.currentSince = routes.Version, c.host.Now()
+		c.onVersion(routes.Version)
 	}
 	if !c.host.Draining.Load() && c.ready.CompareAndSwap(false, true) {
 		events.Log(events.FrontReady, "version", routes.Version, "searchers", len(c.table.Endpoints))
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -1,11 +1,14 @@
 package front
 
-import "swiftswitch/internal/metrics"
+import (
+	"math"
+
+	"swiftswitch/internal/metrics"
+)
 
 // Gauges returns the node's figures as a front or cache node, for its metrics.
 func (s *Server) Gauges() []metrics.Gauge {
 	status := s.Status()
-	_, silence := s.majority.clock()
 	return []metrics.Gauge{
 		{Name: "front_configuration_version", Help: "Version of the configuration that requests are routed by.", Value: float64(status.Current)},
 		{Name: "front_configuration_age_seconds", Help: "How long ago that version came into force at this node.", Value: float64(status.CurrentAgeMs) / 1000},
@@ -20,7 +23,7 @@
 		{Name: "front_endpoints_unhealthy", Help: "Endpoints that do not answer this node.", Value: float64(status.Connections.Unhealthy)},
 		{Name: "front_endpoints_reported_unreachable", Help: "Endpoints that other nodes report as unreachable.", Value: float64(status.Connections.ReportedUnreachable)},
 		{Name: "front_upstream_connections", Help: "Open connections to endpoints.", Value: float64(status.Connections.OpenConnections)},
-		{Name: "front_majority_silence_seconds", Help: "Time since an answer of a control node in contact with a majority.", Value: silence.Seconds()},
+		{Name: "front_majority_silence_seconds", Help: "Time since an answer of a control node in contact with a majority; endless where there was none since the start.", Value: s.majoritySilenceSeconds()},
 		{Name: "front_count", Help: "Fronts in the cluster, as this node was told.", Value: float64(status.FrontCount)},
 		{Name: "front_cached_objects", Help: "Objects in the node's cache.", Value: float64(status.CachedObjects)},
 		{Name: "front_cached_bytes", Help: "Bytes in the node's cache.", Value: float64(status.CachedBytes)},
@@ -28,6 +31,14 @@
 	}
 }
 
+// majoritySilenceSeconds is how long the node has had no contact with a majority.
+func (s *Server) majoritySilenceSeconds() float64 {
+	if _, silence := s.majority.clock(); silence < endlessSilence {
+		return silence.Seconds()
+	}
+	return math.Inf(1)
+}
+
 func boolGauge(value bool) float64 {
 	if value {
 		return 1
--- a/internal/front/watch_response.go
+++ b/internal/front/watch_response.go
@@ -22,9 +22,7 @@
 	s.applyUnreachable(ip, &response)
 	if !response.LacksMajority {
 		s.majority.record()
-		if response.Version <= s.layouts.currentVersion {
-			s.keys.confirm(answered.sentAt)
-		}
+		s.keys.onNewest(newestVersion{response.Version, answered.sentAt}, s.layouts.currentVersion)
 	}
 	if isCurrent && response.ControlNodes != nil {
 		s.setCacheNodes(&response)
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -40,7 +40,7 @@
 	// StartupWait is how long a request waits for the first snapshot.
 	StartupWait time.Duration
 	// Clock returns the monotonic time and how long ago the node had contact
-	// with a majority of the voters. After MajorityTimeout without contact the
+	// with a majority of the voters, without end where it never had. After MajorityTimeout without contact the
 	// node sends no requests to versions that are not settled.
 	Clock           func() (now, silence time.Duration)
 	MajorityTimeout time.Duration
