Keys are confirmed as of when a majority knew of no later version

And what a control node had heard counted from its arrival, while a heartbeat may arrive long after it was sent, as a cut heals or as a paused process goes on.

Now heartbeats bear the sender's clock and echo the receiver's, so that what they say is dated by the receiver's own clock. ConfirmedAt takes the voters that had accepted nothing beyond this node's state and gives the time that a majority vouches for; answers to polls carry it, and fronts count from there. Where the settings say RevocationClosed, polls are held for 0.2 of RevocationMs at most.

TestLateHeartbeatConfirmsNothing fails where a heartbeat is dated by its arrival ('confirmed -1 ms after the poll's arrival' after half a second).

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -43,6 +43,8 @@
 		RosterRevision: s.fronts.ownRoster().Revision,
 		ElapsedMs:      s.rollouts.elapsedByOrder(),
 		Draining:       s.host.Draining.Load(),
+		Pending:        s.acceptor.AcceptedValue != nil,
+		Clock:          s.clockReading(),
 		Format:         consensus.Format,
 	}
 }
@@ -52,7 +54,8 @@
 func (s *Server) onHeartbeat(heartbeat nodeapi.Heartbeat) {
 	now := s.host.Now()
 	ip := heartbeat.IP
-	s.peers.onHeartbeat(heartbeat, now)
+	s.peers.onHeartbeat(heartbeat, s.contact(heartbeat, now), now)
+	s.confirmState()
 	s.fronts.onPeerCount(heartbeat.FrontCount, now)
 	s.pollLease.OnHeartbeat(heartbeat.ID, !heartbeat.Draining && !heartbeat.Ineligible, now)
 	s.pollLease.ObserveEpoch(heartbeat.Epoch, heartbeat.Holder)
@@ -120,6 +123,8 @@
 	renewal lease.Request
 	sent    time.Duration
 	to      []string
+	// echoes holds, by address, the last clock reading of those nodes.
+	echoes map[string]*nodeapi.ClockReading
 	// noPeers: no other control node was heard, and there is no other voter.
 	noPeers bool
 }
@@ -128,7 +133,7 @@
 // answered by one, so of two nodes that hear each other only one sends. It runs
 // on loop.
 func (s *Server) nextHeartbeat() outgoingHeartbeat {
-	out := outgoingHeartbeat{sent: s.host.Now(), message: s.heartbeat()}
+	out := outgoingHeartbeat{sent: s.host.Now(), message: s.heartbeat(), echoes: map[string]*nodeapi.ClockReading{}}
 	out.renewal, out.message.Renewals = s.pollLease.renewals(out.sent)
 	peers := s.peerIPs()
 	out.noPeers = len(peers) == 0
@@ -137,6 +142,7 @@
 		recent := heard && out.sent-peer.heardAt < s.host.Heartbeats(recentlyHeardHeartbeats)
 		if !recent || out.message.Draining || s.initiatesHeartbeat(out.message, ip, peer) {
 			out.to = append(out.to, ip)
+			out.echoes[ip] = peer.clock
 		}
 	}
 	return out
@@ -151,6 +157,7 @@
 		out.to = s.otherControlIPs()
 	}
 	for _, ip := range out.to {
+		out.message.Echo = out.echoes[ip]
 		go s.sendHeartbeat(out, ip)
 	}
 }
--- a/internal/control/internal_api.go
+++ b/internal/control/internal_api.go
@@ -135,6 +135,7 @@
 		granted := s.pollLease.grantRenewals(heartbeat)
 		response = s.heartbeat()
 		response.GrantedRoles = granted
+		response.Echo = heartbeat.Clock
 	})
 	return response
 }
--- a/internal/control/majority_test.go
+++ b/internal/control/majority_test.go
@@ -39,3 +39,59 @@
 	w.StartNode(1, false, 1, 2, 3)
 	w.Eventually("it hears a majority", func() bool { return !pollOnce(t, w, 3).LacksMajority })
 }
+
+// Guards against a state that counts as the newest on the word of a heartbeat
+// which was long on its way, as when a cut heals or the process was paused: it is
+// dated by the echo of this node's clock, not by its arrival.
+func TestLateHeartbeatConfirmsNothing(t *testing.T) {
+	w := startThreeControlNodes(t)
+	one, two := w.Control(1), w.Control(2)
+	w.Eventually("the state is confirmed", func() bool { return !pollOnce(t, w, 1).Unconfirmed })
+	w.Kill("2")
+	w.Kill("3")
+	var heartbeat nodeapi.Heartbeat
+	heartbeat.ID, heartbeat.IP = two.ID(), w.IP(2)
+	heartbeat.DecidedSlot = one.State().Slot
+	heartbeat.Clock = &nodeapi.ClockReading{Run: 1}
+	send := func(echo *nodeapi.ClockReading) (answer nodeapi.Heartbeat) {
+		t.Helper()
+		heartbeat.Echo = echo
+		address := one.Host().Settings().InternalAddress(w.IP(1))
+		if err := one.Host().Client.CallJSON(address, nodeapi.PathHeartbeat, heartbeat, &answer, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		return answer
+	}
+	const delay = 500 * time.Millisecond
+	answer := send(nil)
+	first := answer.Clock
+	if answer.Echo == nil || *answer.Echo != *heartbeat.Clock {
+		t.Fatalf("the answer echoes %+v", answer.Echo)
+	}
+	time.Sleep(delay)
+	for _, c := range []struct {
+		name string
+		echo *nodeapi.ClockReading
+	}{
+		{"from before this run", nil},
+		{"of another run", &nodeapi.ClockReading{Run: first.Run + 1, AtMs: first.AtMs}},
+		{"on its way for long", first},
+	} {
+		send(c.echo)
+		response := pollOnce(t, w, 1)
+		if response.LacksMajority || response.Unconfirmed || response.ConfirmedAfterMs > -delay.Milliseconds() {
+			t.Errorf("a heartbeat %s: lacks a majority %v, confirmed %d ms after the poll's arrival", c.name, response.LacksMajority, response.ConfirmedAfterMs)
+		}
+	}
+	send(send(first).Clock)
+	if response := pollOnce(t, w, 1); response.ConfirmedAfterMs < -delay.Milliseconds()/2 {
+		t.Errorf("a heartbeat in time: confirmed %d ms after the poll's arrival", response.ConfirmedAfterMs)
+	}
+	// A voter that accepted a value for the next slot may know of more.
+	heartbeat.Pending = true
+	time.Sleep(delay)
+	send(send(first).Clock)
+	if response := pollOnce(t, w, 1); response.ConfirmedAfterMs > -delay.Milliseconds() {
+		t.Errorf("a voter with a pending value: confirmed %d ms after the poll's arrival", response.ConfirmedAfterMs)
+	}
+}
--- a/internal/control/peer_table.go
+++ b/internal/control/peer_table.go
@@ -20,6 +20,11 @@
 	slot int64
 	// format is the consensus.Format of its program.
 	format int
+	// clock is the node's clock when it sent its last heartbeat, to be echoed;
+	// nil if it sent none.
+	clock *nodeapi.ClockReading
+	// contact is what it knew last, as far as that can be dated; nil if it can't.
+	contact *membership.Contact
 }
 
 // peerTable holds what this node knows of the other control nodes. It belongs
@@ -44,8 +49,12 @@
 	}
 }
 
-// onHeartbeat records the heartbeat of another node.
-func (p *peerTable) onHeartbeat(heartbeat nodeapi.Heartbeat, now time.Duration) {
+// onHeartbeat records the heartbeat of another node; contact is what it knew, nil
+// where that can't be dated.
+func (p *peerTable) onHeartbeat(heartbeat nodeapi.Heartbeat, contact *membership.Contact, now time.Duration) {
+	if known, ok := p.byIP[heartbeat.IP]; ok && known.id == heartbeat.ID {
+		contact = laterContact(known.contact, contact)
+	}
 	p.byIP[heartbeat.IP] = peerState{
 		id:      heartbeat.ID,
 		heardAt: now,
@@ -53,10 +62,33 @@
 		zone:    heartbeat.Zone,
 		slot:    heartbeat.DecidedSlot,
 		format:  heartbeat.Format,
+		clock:   heartbeat.Clock,
+		contact: contact,
 	}
 	p.detector.OnHeartbeat(heartbeat.ID, now)
 }
 
+// laterContact returns the later of two contacts: heartbeats may arrive out of
+// order. Either may be nil.
+func laterContact(a, b *membership.Contact) *membership.Contact {
+	if b == nil || a != nil && a.At > b.At {
+		return a
+	}
+	return b
+}
+
+// contacts returns what the voters of a state knew last, by ID, as far as it can
+// be dated.
+func (p *peerTable) contacts(state consensus.State) map[string]membership.Contact {
+	contacts := map[string]membership.Contact{}
+	for _, v := range state.Voters {
+		if peer, ok := p.voter(v); ok && peer.contact != nil {
+			contacts[v.ID] = *peer.contact
+		}
+	}
+	return contacts
+}
+
 // add notes a node that made itself known by another call than a heartbeat. A
 // node that is known under this identity stays as it is.
 func (p *peerTable) add(ip, id string, now time.Duration) {
--- a/internal/control/peer_table_test.go
+++ b/internal/control/peer_table_test.go
@@ -16,7 +16,7 @@
 	if _, known := peers.voter(before); known {
 		t.Error("a node is known before it was heard")
 	}
-	peers.onHeartbeat(nodeapi.Heartbeat{ID: "a1", IP: "ip-a", DecidedSlot: 7, Draining: true}, time.Second)
+	peers.onHeartbeat(nodeapi.Heartbeat{ID: "a1", IP: "ip-a", DecidedSlot: 7, Draining: true}, nil, time.Second)
 	if peer, known := peers.voter(before); !known || !peer.leaving || peer.slot != 7 {
 		t.Errorf("after its heartbeat: %+v, known: %v", peer, known)
 	}
@@ -36,9 +36,9 @@
 // Nodes that drain, or were not heard lately, don't stay.
 func TestStayingPeers(t *testing.T) {
 	peers := newPeerTable(membership.NewFailureDetector(time.Second, 0))
-	peers.onHeartbeat(nodeapi.Heartbeat{ID: "silent", IP: "ip-s"}, time.Second)
-	peers.onHeartbeat(nodeapi.Heartbeat{ID: "draining", IP: "ip-d", Draining: true}, 3*time.Second)
-	peers.onHeartbeat(nodeapi.Heartbeat{ID: "staying", IP: "ip-t"}, 3*time.Second)
+	peers.onHeartbeat(nodeapi.Heartbeat{ID: "silent", IP: "ip-s"}, nil, time.Second)
+	peers.onHeartbeat(nodeapi.Heartbeat{ID: "draining", IP: "ip-d", Draining: true}, nil, 3*time.Second)
+	peers.onHeartbeat(nodeapi.Heartbeat{ID: "staying", IP: "ip-t"}, nil, 3*time.Second)
 	if got := peers.staying(3*time.Second, 2*time.Second); len(got) != 1 || got[0] != "ip-t" {
 		t.Errorf("%v", got)
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -42,8 +42,10 @@
 	// polls the platform while this node holds that lease.
 	pollLease *leaseController
 	poller    *discoveryPoller
-	// peers holds what is known of the other control nodes.
-	peers peerTable
+	// peers holds what is known of the other control nodes. confirmedAt, owned by
+	// loop, is when the state was last certain to be the newest, nil for never.
+	peers       peerTable
+	confirmedAt *time.Duration
 	// fronts holds what is known of the fronts and cache nodes, cacheNodes changes
 	// the list of cache nodes, watch answers the long polls of both.
 	fronts     *frontRegistry
@@ -144,6 +146,7 @@
 	s.pollLease.voter.SetVoters(learned.VotersSlot, learned.IsVoter(s.acceptor.ID), consecutive, s.host.Now())
 	s.rollouts.apply()
 	s.orders.apply()
+	s.confirmState()
 	if learned.Version != old.Version {
 		s.versions.invalidate()
 	}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -42,6 +42,7 @@
 // hold it is over, or at once while the node drains.
 func (w *watchHandler) handle(request nodeapi.WatchRequest) nodeapi.WatchResponse {
 	host := w.server.host
+	arrivedAt := host.Now()
 	hold := time.Duration(request.MaxHoldMs) * time.Millisecond
 	hold = max(host.Heartbeats(minWatchHoldHeartbeats), min(host.LongPollTimeout(), hold))
 	expired := time.NewTimer(hold)
@@ -53,6 +54,7 @@
 		w.server.loop.Call(func() {
 			w.server.fronts.onWatch(request, host.Now()+hold)
 			response, hasUpdate = w.response(request)
+			w.addConfirmation(&response, arrivedAt)
 			changed = w.changed
 		})
 		if request.Locate {
@@ -122,6 +124,18 @@
 	return response, hasUpdate || state.Slot > request.Slot && state.Version > 0
 }
 
+// addConfirmation adds when this node's version was last certain to be the
+// newest. It runs on Server.loop.
+func (w *watchHandler) addConfirmation(response *nodeapi.WatchResponse, arrivedAt time.Duration) {
+	confirmedAt, ok := w.server.stateConfirmedAt()
+	if !ok {
+		response.Unconfirmed = true
+		return
+	}
+	// Rounded down: it may have been confirmed earlier, not later.
+	response.ConfirmedAfterMs = (confirmedAt - arrivedAt).Milliseconds() - 1
+}
+
 // addTable adds the endpoint table's stamp, and the change of the table unless
 // the watcher wants none. It reports whether the table changed.
 func (w *watchHandler) addTable(response *nodeapi.WatchResponse, request nodeapi.WatchRequest) bool {
--- a/internal/front/key_confirmation_test.go
+++ b/internal/front/key_confirmation_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"swiftswitch/internal/config"
+	"swiftswitch/internal/nodeapi"
 )
 
 // never is the confirmation time of keys that nothing has confirmed.
@@ -68,3 +69,26 @@
 		t.Fatalf("version 5 is confirmed at %v", at)
 	}
 }
+
+// Guards against keys that are confirmed by the time of a poll, when the control
+// node that answered it had long heard nobody.
+func TestConfirmationIsDatedByTheMajority(t *testing.T) {
+	answered := watchAnswer{sentAt: 9 * time.Second, response: nodeapi.WatchResponse{Version: 3, ConfirmedAfterMs: -2500}}
+	if got, want := answered.newestVersion(), (newestVersion{3, 6500 * time.Millisecond}); got != want {
+		t.Errorf("the version and its time are %+v, want %+v", got, want)
+	}
+}
+
+// Where keys need confirmations, polls are held for so short that they come in time.
+func TestPollsConfirmKeysInTime(t *testing.T) {
+	w := &controlWatcher{host: newTestHost(t, 1500)}
+	bounds := w.host.Settings().Bounds
+	bounds.RevocationMs = 5000
+	if got := w.primaryHold(); got != 1500*time.Millisecond {
+		t.Errorf("keys that stay valid: polls are held for %v", got)
+	}
+	bounds.RevocationClosed = true
+	if got := w.primaryHold(); got != time.Second {
+		t.Errorf("keys that need confirmations: polls are held for %v", got)
+	}
+}
--- a/internal/front/watch_response.go
+++ b/internal/front/watch_response.go
@@ -22,7 +22,9 @@
 	s.applyUnreachable(ip, &response)
 	if !response.LacksMajority {
 		s.majority.record()
-		s.keys.onNewest(newestVersion{response.Version, answered.sentAt}, s.layouts.currentVersion)
+		if !response.Unconfirmed {
+			s.keys.onNewest(answered.newestVersion(), s.layouts.currentVersion)
+		}
 	}
 	if isCurrent && response.ControlNodes != nil {
 		s.setCacheNodes(&response)
--- a/internal/front/watcher.go
+++ b/internal/front/watcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"swiftswitch/internal/commandloop"
+	"swiftswitch/internal/config"
 	"swiftswitch/internal/endpoints"
 	"swiftswitch/internal/events"
 	"swiftswitch/internal/host"
@@ -21,6 +22,9 @@
 	// pollGraceHeartbeats how much longer the call itself may take.
 	pollHeartbeats      = 1
 	pollGraceHeartbeats = 0.8
+	// confirmationPollRatio, of RevocationMs, bounds that hold where keys need
+	// confirmations.
+	confirmationPollRatio = 0.2
 	// unresponsiveHeartbeats is how long a control node that did not answer
 	// ranks behind the others.
 	unresponsiveHeartbeats = 4
@@ -219,6 +223,13 @@
 	sentAt time.Duration
 }
 
+// newestVersion is the version that the response announces, and when it was last
+// certain to be the newest. The request arrived after it was sent.
+func (a watchAnswer) newestVersion() newestVersion {
+	afterArrival := time.Duration(a.response.ConfirmedAfterMs) * time.Millisecond
+	return newestVersion{version: a.response.Version, at: a.sentAt + afterArrival}
+}
+
 // longPoll is the state of the polls to one target. Its goroutine owns it.
 type longPoll struct {
 	ip string
@@ -230,7 +241,7 @@
 
 // watch polls one control node for as long as it is a target.
 func (w *controlWatcher) watch(ip string) {
-	poll := &longPoll{ip: ip, omitTable: true, hold: w.host.Heartbeats(pollHeartbeats)}
+	poll := &longPoll{ip: ip, omitTable: true, hold: w.primaryHold()}
 	for {
 		select {
 		case <-w.host.Stopping:
@@ -262,6 +273,16 @@
 	}
 }
 
+// primaryHold is how long the primary may hold a long poll. Its answers confirm
+// the keys, which the settings may want often.
+func (w *controlWatcher) primaryHold() time.Duration {
+	hold := w.host.Heartbeats(pollHeartbeats)
+	if bounds := w.host.Settings().Bounds; bounds.RevocationClosed {
+		hold = min(hold, config.Milliseconds(bounds.RevocationMs, confirmationPollRatio))
+	}
+	return hold
+}
+
 // checkTarget reports whether a control node is a target, and the primary. If it
 // is no target, the caller must end: the next pickTargets may start another
 // goroutine for it.
@@ -317,7 +338,7 @@
 // waits before the next poll.
 func (w *controlWatcher) onPollFailure(poll *longPoll) {
 	poll.failures++
-	poll.hold = w.host.Heartbeats(pollHeartbeats)
+	poll.hold = w.primaryHold()
 	w.loop.Call(func() {
 		delete(w.frontCounts, poll.ip)
 		if poll.failures >= unresponsiveFailures {
@@ -344,7 +365,7 @@
 	}
 	poll.omitTable = !lacksTable()
 	// Targets that only announce may hold the poll for longer.
-	if poll.hold = w.host.Heartbeats(pollHeartbeats); !isPrimary {
+	if poll.hold = w.primaryHold(); !isPrimary {
 		poll.hold = w.host.LongPollTimeout()
 	}
 	for i := 0; lacksConfiguration() && i < maxConfigurationFetches; i++ {
--- a/internal/nodeapi/heartbeat.go
+++ b/internal/nodeapi/heartbeat.go
@@ -43,6 +43,23 @@
 	// RosterRevision is the revision of the sender's FrontRoster. A receiver
 	// that holds another one fetches it on PathFrontRoster.
 	RosterRevision int64 `json:"Roll"`
+	// Pending reports that the sender accepted a value for the slot after
+	// DecidedSlot, so that one may be decided there which it does not know of.
+	Pending bool `json:"Pending,omitempty"`
+	// Clock is the sender's clock at the sending. Echo is the last Clock that
+	// the sender received from the receiver: the message was sent after the
+	// receiver's clock read that, however long it was on its way. Both are nil
+	// where an earlier program sends, Echo also where nothing was received.
+	Clock *ClockReading `json:"Clock,omitempty"`
+	Echo  *ClockReading `json:"Echo,omitempty"`
 	// Format is consensus.Format of the sender's program, 0 where it has none.
 	Format int `json:"Format,omitempty"`
 }
+
+// ClockReading is a reading of the monotonic clock of one run of a process.
+type ClockReading struct {
+	// Run is drawn for each run; readings of two runs can't be compared.
+	Run int64 `json:"Run"`
+	// AtMs is the reading in milliseconds since the start of the process.
+	AtMs int64 `json:"AtMs"`
+}
--- a/internal/nodeapi/watch.go
+++ b/internal/nodeapi/watch.go
@@ -59,6 +59,12 @@
 	// LacksMajority reports that the answering node has not heard a majority
 	// of the voters lately. What it says may then be out of date.
 	LacksMajority bool `json:"Lone,omitempty"`
+	// ConfirmedAfterMs is when Version was last certain to be the newest, in
+	// milliseconds from the arrival of the request; below 0 it is before that.
+	// Unconfirmed reports that it never was since the answering node started.
+	// Neither counts where LacksMajority is set; an earlier program sends none.
+	ConfirmedAfterMs int64 `json:"ConfirmedAfterMs,omitempty"`
+	Unconfirmed      bool  `json:"Unconfirmed,omitempty"`
 	// Slot, Version and Stamp are those of the newest state, configuration and
 	// endpoint table that the answering node holds. The watcher fetches a
 	// newer configuration with a VersionRequest.
