A listener goes on after errors that pass

The server's accept loop ends with the listener's first error, and trackedListener handed on EMFILE as if it were final; Serve dropped the error.

Now the listener waits and tries again after errors that pass, and ends clients' connections that have rested for longest where no descriptor is left. E1011 says so, and E1012 that a server ended without having been closed.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -40,6 +40,8 @@
 	{InvariantViolated, "invariant-violated", LevelError, "The process found itself in a state that must never occur, and ends; keep the log and report it."},
 	{ProcessPaused, "process-paused", LevelInfo, "The process did not run for the time named, since it was frozen or got no processor time; for a moment it answers orders with 503, since they may have waited in its sockets."},
 	{SettingsUnsupported, "settings-unsupported", LevelWarn, "The settings ask for what this program does not do: a part of the service rules, a duty, or a way of working; run a version that does it before relying on it."},
+	{AcceptFailed, "accept-failed", LevelWarn, "A connection could not be accepted, mostly since no descriptor was left, and the node goes on trying while connections that rest are ended; if it recurs, raise the limit of descriptors or add fronts."},
+	{ServerEnded, "server-ended", LevelError, "The server of an address ended, though the node did not close it, and nobody is served there any more; restart the node and report it."},
 
 	{MessageRejected, "message-rejected", LevelWarn, "A malformed message from another node was rejected; if it recurs, compare the versions of the two nodes."},
 
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -16,6 +16,8 @@
 	InvariantViolated      Event = 1008
 	ProcessPaused          Event = 1009
 	SettingsUnsupported    Event = 1010
+	AcceptFailed           Event = 1011
+	ServerEnded            Event = 1012
 )
 
 // Calls between nodes.
--- /dev/null
+++ b/internal/transport/listener.go
@@ -0,0 +1,79 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+
+	"swiftswitch/internal/events"
+)
+
+const (
+	// minAcceptPause is the pause after an attempt to accept a connection
+	// failed. It doubles with each further one, up to maxAcceptPause.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 80 * time.Millisecond
+	// idleEndedAtOnce is how many idle connections are ended where there is no
+	// descriptor left for another one.
+	idleEndedAtOnce = 16
+)
+
+// passingAcceptErrors are those after which a listener can go on: the process or
+// the machine has no descriptor or memory left for a connection now, or the
+// client left before its connection was accepted.
+var passingAcceptErrors = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EPROTO, syscall.EINTR, syscall.EAGAIN,
+}
+
+// trackedListener accepts connections that its tracker knows, and whose callers
+// its hangupWatcher can watch.
+type trackedListener struct {
+	net.Listener
+	tracker *ConnTracker
+	hangups *hangupWatcher
+	// endsIdle: connections that rest make room for new ones where there is no
+	// descriptor left.
+	endsIdle bool
+	// timeouts may be nil.
+	timeouts func() (read, idle time.Duration)
+}
+
+// Accept implements net.Listener. The server that calls it ends with the first
+// error, so it returns only one that is final.
+func (l trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.acceptNext()
+	if err != nil {
+		return nil, err
+	}
+	c := &trackedConn{Conn: conn, caller: newCaller(conn, l.hangups), tracker: l.tracker, timeouts: l.timeouts, idle: true, idleSince: time.Now()}
+	l.tracker.add(c)
+	return c, nil
+}
+
+// acceptNext waits for the next connection, through errors that pass.
+func (l trackedListener) acceptNext() (net.Conn, error) {
+	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		conn, err := l.Listener.Accept()
+		if err == nil || !isPassing(err) {
+			return conn, err
+		}
+		if pause == minAcceptPause {
+			events.Log(events.AcceptFailed, "addr", l.Addr(), "err", err)
+		}
+		if l.endsIdle && isOutOfDescriptors(err) {
+			l.tracker.EndIdle(idleEndedAtOnce)
+		}
+		time.Sleep(pause)
+	}
+}
+
+func isPassing(err error) bool {
+	return slices.ContainsFunc(passingAcceptErrors, func(passing error) bool { return errors.Is(err, passing) })
+}
+
+func isOutOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -38,7 +38,8 @@
 	// Timeouts, where set, is called for each read in place of ReadTimeout and
 	// IdleTimeout.
 	Timeouts func() (read, idle time.Duration)
-	// Tracker, where set, tracks the connections.
+	// Tracker, where set, tracks the connections; those that rest are ended
+	// where there is no descriptor left for a new one.
 	Tracker *ConnTracker
 }
 
@@ -66,10 +67,17 @@
 // context that handle is given belongs to the connection: CallerFrom returns
 // its Caller. The server ends with its listener.
 func Serve(listener net.Listener, options ServerOptions, handle app.HandlerFunc) *server.Hertz {
-	if options.Tracker == nil {
-		options.Tracker = &ConnTracker{}
+	tracker := options.Tracker
+	if tracker == nil {
+		tracker = &ConnTracker{}
+	}
+	listener = trackedListener{
+		Listener: listener,
+		tracker:  tracker,
+		hangups:  &hangupWatcher{},
+		endsIdle: options.Tracker != nil,
+		timeouts: options.Timeouts,
 	}
-	listener = trackedListener{Listener: listener, tracker: options.Tracker, hangups: &hangupWatcher{}, timeouts: options.Timeouts}
 	if options.Timeouts != nil {
 		options.ReadTimeout, options.IdleTimeout = readPlaceholder, idlePlaceholder
 	}
@@ -99,6 +107,10 @@
 	)
 	h.NoRoute(handle)
 	h.NoMethod(handle)
-	go func() { _ = h.Engine.Run() }()
+	go func() {
+		if err := h.Engine.Run(); err != nil && !errors.Is(err, net.ErrClosed) {
+			events.Log(events.ServerEnded, "addr", listener.Addr(), "err", err)
+		}
+	}()
 	return h
 }
--- a/internal/transport/tracker.go
+++ b/internal/transport/tracker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -45,6 +46,23 @@
 	}
 }
 
+// EndIdle ends the connections that have been idle for longest, up to a number.
+func (t *ConnTracker) EndIdle(count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var idle []*trackedConn
+	for c := range t.conns {
+		if c.idle {
+			idle = append(idle, c)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *trackedConn) int { return a.idleSince.Compare(b.idleSince) })
+	for _, c := range idle[:min(count, len(idle))] {
+		c.ending = true
+		_ = c.Conn.SetReadDeadline(aLongTimeAgo)
+	}
+}
+
 // Active returns the number of connections with a request in progress.
 func (t *ConnTracker) Active() int {
 	t.mu.Lock()
@@ -73,37 +91,20 @@
 	delete(t.conns, c)
 }
 
-// trackedListener accepts connections that its tracker knows, and whose callers
-// its hangupWatcher can watch.
-type trackedListener struct {
-	net.Listener
-	tracker *ConnTracker
-	hangups *hangupWatcher
-	// timeouts may be nil.
-	timeouts func() (read, idle time.Duration)
-}
-
-// Accept implements net.Listener.
-func (l trackedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &trackedConn{Conn: conn, caller: newCaller(conn, l.hangups), tracker: l.tracker, timeouts: l.timeouts, idle: true}
-	l.tracker.add(c)
-	return c, nil
-}
-
 // trackedConn is a connection that its tracker knows. The tracker's lock
-// guards idle and responded.
+// guards idle, idleSince, ending and responded.
 type trackedConn struct {
 	net.Conn
 	caller  *Caller
 	tracker *ConnTracker
 	// timeouts is nil where deadlines are not replaced.
 	timeouts func() (read, idle time.Duration)
-	// idle says that nothing of a request was read since the last response.
-	idle bool
+	// idle says that nothing of a request was read since the last response, and
+	// idleSince for how long that is so.
+	idle      bool
+	idleSince time.Time
+	// ending: the connection takes no further request.
+	ending bool
 	// responded says that bytes of a final response were written since the
 	// last read: the next read is for the next request.
 	responded bool
@@ -130,8 +131,9 @@
 	defer c.tracker.mu.Unlock()
 	if c.responded {
 		c.idle, c.responded = true, false
+		c.idleSince = time.Now()
 	}
-	return !c.tracker.draining || !c.idle
+	return !c.idle || !c.tracker.draining && !c.ending
 }
 
 // Write implements net.Conn.
@@ -166,7 +168,7 @@
 	// Under the lock, so that Drain doesn't come between the look and the step.
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
-	if c.tracker.draining && (c.idle || c.responded) {
+	if (c.tracker.draining || c.ending) && (c.idle || c.responded) {
 		deadline = aLongTimeAgo
 	}
 	return c.Conn.SetReadDeadline(deadline)
