Cache nodes are removed only under the lease, and by a node that listened

Nodes that are removed while they run go on fetching for a moment, and the others take over their part.

Now silence counts from the end of the last pause at the earliest, and the lease's epoch is looked at before each proposal of a removal.

--- a/internal/control/cache_node_registry.go
+++ b/internal/control/cache_node_registry.go
@@ -35,7 +35,8 @@
 	if node.IP == "" {
 		return false
 	}
-	return r.change(func(list []consensus.CacheNode) []consensus.CacheNode {
+	always := func() bool { return true }
+	return r.change(always, func(list []consensus.CacheNode) []consensus.CacheNode {
 		if slices.ContainsFunc(list, func(n consensus.CacheNode) bool { return n.IP == node.IP }) {
 			return list
 		}
@@ -44,15 +45,17 @@
 }
 
 // removeSilent takes nodes off the list that were not heard for CatchUpS. The
-// holder of the poll lease calls it. Long before, such a node has stopped to
-// fetch objects by itself.
-func (r *cacheNodeRegistry) removeSilent() {
+// holder of the poll lease calls it, under an epoch that it must still hold when
+// it proposes the list: another holder may hear these nodes. Long before, such a
+// node has stopped to fetch objects by itself.
+func (r *cacheNodeRegistry) removeSilent(epoch int64) {
 	var silent []string
 	r.server.loop.Call(func() { silent = r.silent() })
 	if len(silent) == 0 {
 		return
 	}
-	done := r.change(func(list []consensus.CacheNode) []consensus.CacheNode {
+	holdsLease := func() bool { return r.server.pollLease.holdsEpoch(epoch) }
+	done := r.change(holdsLease, func(list []consensus.CacheNode) []consensus.CacheNode {
 		return slices.DeleteFunc(slices.Clone(list), func(n consensus.CacheNode) bool { return slices.Contains(silent, n.IP) })
 	})
 	events.Log(events.CacheNodesRemoved, "count", len(silent), "done", done)
@@ -63,22 +66,24 @@
 func (r *cacheNodeRegistry) silent() (ips []string) {
 	host := r.server.host
 	now := host.Now()
+	// A process that was paused heard nobody meanwhile.
+	listeningSince := r.server.peers.detector.ListeningSince(now)
 	timeout := config.Seconds(host.Settings().Bounds.CatchUpS, 1)
 	for _, node := range r.server.acceptor.State.CacheNodes {
 		// What was heard stays noted: the watcher may be forgotten before the timeout.
 		heardAt := max(r.heardAt[node.IP], r.server.fronts.cacheNodeHeardAt(node.IP))
 		r.heardAt[node.IP] = heardAt
-		if now-heardAt > timeout {
+		if now-max(heardAt, listeningSince) > timeout {
 			ips = append(ips, node.IP)
 		}
 	}
 	return ips
 }
 
-// change proposes the list that update makes of the decided one, and reports
-// whether the decided list is as update wants it. update must not modify its
+// change proposes the list that update makes of the decided one, while mayPropose,
+// and reports whether the decided list is as update wants it. update must not modify its
 // argument; it is called anew for each state that the proposal is based on.
-func (r *cacheNodeRegistry) change(update func([]consensus.CacheNode) []consensus.CacheNode) bool {
+func (r *cacheNodeRegistry) change(mayPropose func() bool, update func([]consensus.CacheNode) []consensus.CacheNode) bool {
 	s := r.server
 	if !s.proposalLock.LockUrgent(s.host.Heartbeats(cacheNodesLockTimeout)) {
 		return false
@@ -86,7 +91,7 @@
 	defer s.proposalLock.Unlock()
 	for attempt := 0; attempt < maxCacheNodesAttempts; attempt++ {
 		state := s.State()
-		if !state.IsVoter(s.acceptor.ID) {
+		if !state.IsVoter(s.acceptor.ID) || !mayPropose() {
 			return false
 		}
 		list := update(state.CacheNodes)
--- a/internal/control/discovery_poller.go
+++ b/internal/control/discovery_poller.go
@@ -40,8 +40,8 @@
 	// whether fronts get no answer from endpoints. Both run on loop.
 	peerIPs             func() []string
 	frontsMissEndpoints func() bool
-	// removeSilentCacheNodes is called after each poll, outside loop.
-	removeSilentCacheNodes func()
+	// removeSilentCacheNodes is called after each poll, with its epoch, outside loop.
+	removeSilentCacheNodes func(epoch int64)
 }
 
 func newDiscoveryPoller(s *Server) *discoveryPoller {
@@ -87,7 +87,7 @@
 		return p.host.Heartbeats(tableCatchUpRetryHeartbeats)
 	}
 	p.pollOnce(epoch)
-	p.removeSilentCacheNodes()
+	p.removeSilentCacheNodes(epoch)
 	ratio := pollIntervalRatio
 	if urgent {
 		ratio = urgentPollIntervalRatio
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -91,3 +91,9 @@
 
 // DueRetirement is the slot up to which orders are to be retired now. It runs on the loop.
 func (s *Server) DueRetirement() int64 { return s.orders.due(s.host.Now()) }
+
+// JoinCacheNode puts a cache node on the list.
+func (s *Server) JoinCacheNode(node consensus.CacheNode) bool { return s.cacheNodes.join(node) }
+
+// RemoveSilentCacheNodes takes silent cache nodes off the list under an epoch.
+func (s *Server) RemoveSilentCacheNodes(epoch int64) { s.cacheNodes.removeSilent(epoch) }
--- a/internal/control/lease_controller.go
+++ b/internal/control/lease_controller.go
@@ -219,6 +219,16 @@
 	l.ineligible = ineligible
 }
 
+// holdsEpoch reports whether this node holds the lease under an epoch now. It must
+// not be called on loop.
+func (l *leaseController) holdsEpoch(epoch int64) (holds bool) {
+	l.loop.Call(func() {
+		held, ok := l.FencingToken(l.host.Now())
+		holds = ok && held == epoch
+	})
+	return holds
+}
+
 // signal leaves a signal in a channel with room for one, unless one is there.
 func signal(c chan<- struct{}) {
 	select {
--- a/internal/membership/failure_detector.go
+++ b/internal/membership/failure_detector.go
@@ -45,6 +45,16 @@
 // paused reports whether the process has not run for longer than a tick takes.
 func (d *FailureDetector) paused(now time.Duration) bool { return now-d.lastTick > d.maxTickGap }
 
+// ListeningSince is the start, or the end of the last pause of this process: no
+// silence of any node may count from before it. It is now while the process has
+// not ticked since a pause.
+func (d *FailureDetector) ListeningSince(now time.Duration) time.Duration {
+	if d.paused(now) {
+		return now
+	}
+	return d.countingSince
+}
+
 // SetVoters sets whom to watch. The silence of a new voter counts from now on.
 func (d *FailureDetector) SetVoters(ids []string, now time.Duration) {
 	before := d.lastHeard
--- a/internal/membership/failure_detector_test.go
+++ b/internal/membership/failure_detector_test.go
@@ -42,3 +42,20 @@
 	wantSilence(t, d, "c", 21*second, second/2)
 	wantSilence(t, d, "b", 21*second, 0)
 }
+
+// Guards against a node that counts the silence of others while it was paused
+// itself.
+func TestListeningSince(t *testing.T) {
+	const second = time.Second
+	d := NewFailureDetector(second, 2*second)
+	if got := d.ListeningSince(3 * second); got != 2*second {
+		t.Errorf("since the start: %v", got)
+	}
+	if got := d.ListeningSince(9 * second); got != 9*second {
+		t.Errorf("after a pause, before the next tick: %v", got)
+	}
+	d.Tick(9 * second)
+	if got := d.ListeningSince(10 * second); got != 9*second {
+		t.Errorf("since the pause: %v", got)
+	}
+}
