--- a/internal/frontend/cached_route_test.go
+++ b/internal/frontend/cached_route_test.go
@@ -77,6 +77,30 @@
 	}
 }
 
+// Guards against a failure of the front's own that bears the stamp of the
+// searcher's success.
+func TestUnsatisfiableRangeBearsNoStamp(t *testing.T) {
+	addr, h := newTestFront(t)
+	c := NewCacheHandler(110_000, func() time.Duration { return 0 }, testFetcher{map[string]int{"a": 700}})
+	c.ApplyPurges(0, 0, nil)
+	h.SetCacheHandler(c)
+	for _, test := range []struct {
+		lines  string
+		status int
+		stamp  string
+	}{
+		{"", 200, "a"},
+		{"Range: bytes=5-99\r\n", 206, "a"},
+		{"If-None-Match: a\r\n", 304, "a"},
+		{"Range: bytes=700-\r\n", 416, ""},
+	} {
+		responses, _ := send(t, addr, rawRequest("GET", "/cached/a", "r", test.lines, ""), "GET")
+		if len(responses) != 1 || responses[0].status != test.status || responses[0].stamp != test.stamp {
+			t.Errorf("%q: %+v, want %d with the stamp %q", test.lines, responses, test.status, test.stamp)
+		}
+	}
+}
+
 // purgedFetcher fetches objects that a purge has invalidated on their way.
 type purgedFetcher struct{ fetches *atomic.Int64 }
 
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -85,7 +85,10 @@
 	out := &e.ctx.Response
 	out.SetStatusCode(response.Status)
 	writeFields(e, object.Fields)
-	out.Header.Set(upstream.HeaderServerStamp, object.Stamp)
+	if response.Status < http.StatusBadRequest {
+		// The searcher's stamp vouches for what it answered: no failure of this node.
+		out.Header.Set(upstream.HeaderServerStamp, object.Stamp)
+	}
 	out.Header.Set("ETag", object.ETag)
 	out.Header.Set("Age", strconv.Itoa(int(object.Age(h.cache.now())/time.Second)))
 	if response.ContentRange != "" {
