The head of a searcher's response is bounded

Now one above 128 KiB is a malformed response. TestMalformedResponses has such a head, which was taken before.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -84,8 +84,13 @@
 	return true, nil
 }
 
+// maxResponseHeaderBytes bounds the head of a response.
+const maxResponseHeaderBytes = 128 << 10
+
 // readHeader reads the head of the final response.
 func (c *Conn) readHeader(out *protocol.Response) error {
+	c.in.limit = maxResponseHeaderBytes
+	defer func() { c.in.limit = 0 }()
 	for {
 		if err := resp.ReadHeader(&out.Header, &c.in); err != nil {
 			return err
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -17,8 +17,9 @@
 	// than one way.
 	ErrAmbiguousFraming = errors.New("response with ambiguous framing")
 
-	errNotHTTP11     = errors.New("response is not HTTP/1.1")
-	errInvalidStatus = errors.New("response with an invalid status")
+	errNotHTTP11      = errors.New("response is not HTTP/1.1")
+	errHeaderTooLarge = errors.New("response with too large a header")
+	errInvalidStatus  = errors.New("response with an invalid status")
 )
 
 // contentUntilClose is hertz's content length of a body that ends with its
--- a/internal/transport/reader.go
+++ b/internal/transport/reader.go
@@ -12,12 +12,17 @@
 	// buf[start:end] is what was read from the connection and not consumed.
 	buf        []byte
 	start, end int
+	// limit bounds what is read ahead of what was consumed, 0 for no bound.
+	limit int
 	// skipped is what the last Skip consumed, valid until the next read.
 	skipped []byte
 }
 
 // fill reads until n bytes are there to be consumed.
 func (r *reader) fill(n int) error {
+	if r.limit > 0 && n > r.limit {
+		return errHeaderTooLarge
+	}
 	if r.start > 0 && (r.start == r.end || len(r.buf)-r.start < n) {
 		copy(r.buf, r.buf[r.start:r.end])
 		r.end -= r.start
--- a/internal/upstream/malformed_response_test.go
+++ b/internal/upstream/malformed_response_test.go
@@ -127,6 +127,7 @@
 	{"chunks with trailers", lengthAndBody, "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nSwiftswitch-Request-Id: r2\r\n\r\n", true, "body", allReuse},
 	{"chunks with extensions", lengthAndBody, "Transfer-Encoding: chunked\r\n\r\n4;x=1\r\nbody\r\n0\r\n\r\n", false, "", oneClose},
 	{"two IDs", length, "Swiftswitch-Request-Id: r2\r\n" + length, false, "", oneClose},
+	{"a header without an end", length, "X-A: " + strings.Repeat("a", 256<<10) + "\r\n" + length, false, "", oneClose},
 	{"two stamps", length, "Swiftswitch-Server-Stamp: t\r\n" + length, false, "", oneClose},
 	{"no stamp", "Swiftswitch-Server-Stamp: s\r\n", "", false, "", allReuse},
 }
