A route makes 64 attempts at most

Memory is set aside for each attempt that a route allows, so a configuration with a very large Attempts could end the fronts (read by the review).

--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -41,6 +41,10 @@
 	split serviceSplit
 }
 
+// maxAttempts bounds MaxAttempts: memory is set aside for each attempt, and none
+// of so many would be made in time.
+const maxAttempts = 64
+
 // newRoute compiles one route of a configuration.
 func newRoute(c *config.Route) *Route {
 	r := &Route{
@@ -49,7 +53,7 @@
 		Idempotent:    c.RouteKind != config.RouteKindUnsafe,
 		Timeout:       config.Milliseconds(c.TimeoutMs, 1),
 		TargetLatency: config.Milliseconds(c.TargetLatencyMs, 1),
-		MaxAttempts:   max(1, int(c.Attempts)),
+		MaxAttempts:   max(1, int(min(c.Attempts, maxAttempts))),
 		Priority:      int(c.Priority),
 		Public:        c.Public,
 		Shards:        c.GatheredServices,
