--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 // returns the exit code of the process. A data directory that is not empty
 // replaces that of the settings. What went wrong is logged.
 func Run(settingsPath, dataDirectory string, options host.Options) ExitCode {
+	signals := catchReloads()
 	settings, err := config.LoadSettings(settingsPath)
 	if err != nil {
 		events.Log(events.SettingsInvalid, "err", err)
@@ -69,7 +70,7 @@
 	if n.Start() == nil {
 		events.Log(events.Started, "node", settings.NodeName, "role", settings.Role, "zone", settings.Zone, "control", n.control != nil, "front", n.front != nil)
 	}
-	n.handleSignals()
+	n.handleSignals(signals)
 	events.Log(events.Stopped)
 	return ExitOK
 }
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -13,14 +13,21 @@
 // maxPendingSignals is how many signals may wait to be handled.
 const maxPendingSignals = 4
 
+// catchReloads takes SIGHUP from the start of the process on: one that came
+// before handleSignals would end it.
+func catchReloads() (signals chan os.Signal) {
+	signals = make(chan os.Signal, maxPendingSignals)
+	signal.Notify(signals, syscall.SIGHUP)
+	// A write to a closed connection raises it.
+	signal.Ignore(syscall.SIGPIPE)
+	return signals
+}
+
 // handleSignals drains the node on SIGTERM or SIGINT, and returns then. Before
 // that it reloads the settings on SIGHUP and whenever the file has changed,
 // which it looks for every heartbeat interval.
-func (n *Node) handleSignals() {
-	signals := make(chan os.Signal, maxPendingSignals)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	// A write to a closed connection raises it.
-	signal.Ignore(syscall.SIGPIPE)
+func (n *Node) handleSignals(signals chan os.Signal) {
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	loadedAt := modificationTime(n.settingsPath)
 	for {
 		select {
