--- a/internal/consensus/past_order.go
+++ b/internal/consensus/past_order.go
@@ -22,9 +22,9 @@
 	Slot int64 `json:"Slot"`
 }
 
-// sameOrder reports whether o may be a copy of the order that p remembers.
-func (p PastOrder) sameOrder(o Rollout) bool {
-	return p.Service == o.Service && p.TargetVersion == o.TargetVersion && p.DurationMs == o.DurationMs
+// sameOrder reports whether another order may be a copy of the one that o remembers.
+func (o PastOrder) sameOrder(other Rollout) bool {
+	return o.Service == other.Service && o.TargetVersion == other.TargetVersion && o.DurationMs == other.DurationMs
 }
 
 // FindOrder finds the newest order equal to o that is not retired. Where ok is
