--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -120,14 +120,7 @@
 
 // A node that is behind reads from a majority before it rejects an order.
 func TestOrderAtANodeThatIsBehind(t *testing.T) {
-	w := testcluster.New(t)
-	for n := 1; n <= 3; n++ {
-		w.StartNode(n, true, 1, 2, 3)
-	}
-	w.Eventually("the first configuration is acknowledged", func() bool {
-		status, _ := w.PutConfiguration(2, "PUT", "0", testcluster.ConfigurationBody(3, "s1"))
-		return status == 200
-	})
+	w := startThreeControlNodes(t)
 	one, two := w.Nodes["1"].Control(), w.Nodes["2"].Control()
 	w.Eventually("the first order", func() bool {
 		status, _ := w.PostOperator(1, nodeapi.PathRollouts, testcluster.RolloutBody, nil)
