--- a/internal/commandloop/loop.go
+++ b/internal/commandloop/loop.go
@@ -9,17 +9,20 @@
 // Loop runs commands one at a time, in the order of their submission.
 type Loop struct {
 	queue chan func()
+	// stop is closed by Close, and ended once no command runs any more.
 	stop  chan struct{}
+	ended chan struct{}
 }
 
 // New starts a loop; its goroutine ends with Close.
 func New() *Loop {
-	l := &Loop{queue: make(chan func(), queueLength), stop: make(chan struct{})}
+	l := &Loop{queue: make(chan func(), queueLength), stop: make(chan struct{}), ended: make(chan struct{})}
 	go l.run()
 	return l
 }
 
 func (l *Loop) run() {
+	defer close(l.ended)
 	for {
 		select {
 		case command := <-l.queue:
@@ -38,8 +41,9 @@
 	}
 }
 
-// Call queues a command and waits until it has run, or until Close. It must
-// not be called from a command of the same loop: it would wait for itself.
+// Call queues a command and waits until it has run, or until the loop has ended
+// without it. It must not be called from a command of the same loop: it would
+// wait for itself.
 func (l *Loop) Call(command func()) {
 	done := make(chan struct{})
 	l.Submit(func() {
@@ -48,9 +52,9 @@
 	})
 	select {
 	case <-done:
-	case <-l.stop:
+	case <-l.ended:
 	}
 }
 
-// Close ends the loop. Commands that still wait are dropped.
+// Close ends the loop after the command that runs. Those that wait are dropped.
 func (l *Loop) Close() { close(l.stop) }
--- a/internal/commandloop/loop_test.go
+++ b/internal/commandloop/loop_test.go
@@ -1,6 +1,9 @@
 package commandloop
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestCommandsRunInOrder(t *testing.T) {
 	l := New()
@@ -25,3 +28,22 @@
 	l.Call(func() {}) // must not block
 	l.Submit(func() {})
 }
+
+// Guards against a caller that goes on while its command still runs, and reads
+// what the command writes.
+func TestCallWaitsForItsCommandBesideClose(t *testing.T) {
+	l := New()
+	started, written := make(chan bool), false
+	go func() {
+		<-started
+		l.Close()
+	}()
+	l.Call(func() {
+		close(started)
+		time.Sleep(20 * time.Millisecond)
+		written = true
+	})
+	if !written {
+		t.Error("the call returned before its command had run")
+	}
+}
--- a/internal/control/rollout_api.go
+++ b/internal/control/rollout_api.go
@@ -104,6 +104,9 @@
 	}
 	for attempt := 0; ; attempt++ {
 		state := s.State()
+		if state.Slot < confirmed.Slot {
+			return ErrNoMajority // this node ends, and knows nothing any more
+		}
 		if past, ok := state.FindOrder(order); ok {
 			if past.Slot > confirmed.Slot {
 				return nil // it was chosen since the call arrived
