Soaks of revoked keys: overlapping troubles, in one process and with processes

TestRevokedKeysUnderTroubles and TestRevokedKeysAcrossProcesses play the soaks of tenants' keys where the settings say RevocationClosed: no removed key may run longer than RevocationMs after the acknowledgement, at any front, in touch or not. New troubles leave one control node alone, after it was down or cut off, with a front that starts just then; control nodes' troubles overlap.

The soaks that were there play the same troubles as before, by the same seeds.

--- a/internal/node/client_disconnect_cluster_test.go
+++ b/internal/node/client_disconnect_cluster_test.go
@@ -44,9 +44,9 @@
 
 // startStretchedDisconnectTest is startDisconnectTest with all bounds and
 // intervals stretched.
-func startStretchedDisconnectTest(t *testing.T, timeScale float64) *disconnectTest {
+func startStretchedDisconnectTest(t *testing.T, timeScale float64, configure ...func(*testcluster.Cluster)) *disconnectTest {
 	t.Helper()
-	c, endpoints := testcluster.StartStretched(t, timeScale)
+	c, endpoints := testcluster.StartStretched(t, timeScale, configure...)
 	d := &disconnectTest{Cluster: c, endpoints: endpoints, front: 11}
 	addEndpoints(c, endpoints, "f1-far", "f2-far", "origin-a")
 	endpoints["origin-a"].ServeObjects(1)
--- a/internal/node/tenant_cluster_test.go
+++ b/internal/node/tenant_cluster_test.go
@@ -38,9 +38,9 @@
 
 // startStretchedTenantTest is startTenantTest with all bounds and intervals
 // stretched.
-func startStretchedTenantTest(t *testing.T, timeScale float64) *tenantTest {
+func startStretchedTenantTest(t *testing.T, timeScale float64, configure ...func(*testcluster.Cluster)) *tenantTest {
 	t.Helper()
-	d := startStretchedDisconnectTest(t, timeScale)
+	d := startStretchedDisconnectTest(t, timeScale, configure...)
 	operator := testcluster.NewTenantOperator(d.Cluster, 5, []int{1, 2, 3}, "s1", "f1", "f2")
 	tt := &tenantTest{Cluster: d.Cluster, endpoints: d.endpoints, operator: operator}
 	tt.judge = testcluster.NewTenantJudge(d.Cluster, operator)
--- a/internal/node/tenant_process_test.go
+++ b/internal/node/tenant_process_test.go
@@ -30,6 +30,9 @@
 	operator *testcluster.TenantOperator
 	judge    *testcluster.TenantJudge
 
+	// overlapping: several control nodes may have trouble at once.
+	overlapping bool
+
 	mu sync.Mutex
 	// busy are the nodes that have trouble now.
 	busy     map[int]bool
@@ -37,14 +40,20 @@
 }
 
 // startProcessSoak runs three control nodes and the fronts, with tenants.
-func startProcessSoak(t *testing.T) *processSoak {
+// revocationMs above 0 has keys need confirmations.
+func startProcessSoak(t *testing.T, revocationMs float64) *processSoak {
 	t.Helper()
 	c := testcluster.New(t)
-	c.TimeScale, c.LastFront = *tenantScale, firstFront+*tenantFronts-1
+	c.TimeScale, c.LastFront, c.RevocationMs = *tenantScale, firstFront+*tenantFronts-1, revocationMs
 	for _, id := range []string{"s1-a", "s1-b", "f1-far", "f2-far", "plain-a", "plain-b"} {
 		addEndpoints(c, map[string]*testcluster.Endpoint{}, id)
 	}
-	s := &processSoak{Processes: testcluster.NewProcesses(t, c), busy: map[int]bool{}, troubles: map[string]int{}}
+	s := &processSoak{
+		Processes:   testcluster.NewProcesses(t, c),
+		overlapping: revocationMs > 0,
+		busy:        map[int]bool{},
+		troubles:    map[string]int{},
+	}
 	for n := 1; n <= 3; n++ {
 		s.StartProcess(n, true, 1, 2, 3)
 	}
@@ -74,15 +83,27 @@
 // Processes that get signals, are killed, freeze and reload keep to the keys, on
 // connections that clients use until the process is gone.
 func TestTenantKeysAcrossProcesses(t *testing.T) {
+	runProcessSoak(t, 0, *tenantSoakTime)
+}
+
+// Where the settings say RevocationClosed, no removed key runs longer than
+// RevocationMs in any process, whatever signals that and the control nodes get.
+func TestRevokedKeysAcrossProcesses(t *testing.T) {
+	runProcessSoak(t, *soakRevocationMs, *revokedSoakTime)
+}
+
+// runProcessSoak changes keys while processes get signals, for a time.
+func runProcessSoak(t *testing.T, revocationMs float64, duration time.Duration) {
+	t.Helper()
 	seed := *tenantSoakSeed
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
 	t.Log("seed", seed)
-	s := startProcessSoak(t)
+	s := startProcessSoak(t, revocationMs)
 	soak := &tenantSoak{tenantTest: &tenantTest{Cluster: s.Cluster, operator: s.operator, judge: s.judge}}
 	t.Log(s.Count(), "processes")
-	end := time.Now().Add(*tenantSoakTime)
+	end := time.Now().Add(duration)
 	stopClients := s.startClients(seed)
 	var running sync.WaitGroup
 	running.Go(func() { soak.changeKeys(rand.New(rand.NewPCG(seed, 1)), end) })
@@ -130,11 +151,12 @@
 }
 
 // claim takes a node for a trouble, unless it has one already. One control node
-// at a time has trouble.
+// at a time has trouble, unless they may overlap.
 func (s *processSoak) claim(n int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if n < firstFront && (s.busy[1] || s.busy[2] || s.busy[3]) || s.busy[n] {
+	controlBusy := s.busy[1] || s.busy[2] || s.busy[3]
+	if s.busy[n] || n < firstFront && controlBusy && !s.overlapping {
 		return false
 	}
 	s.busy[n] = true
--- a/internal/node/tenant_soak_test.go
+++ b/internal/node/tenant_soak_test.go
@@ -23,6 +23,9 @@
 	tenantEvents   = flag.String("tenants.events", "", "a file for the events of the nodes of TestTenantKeysUnderTroubles")
 	tenantScale    = flag.Float64("tenants.scale", 2, "stretches the bounds of the soaks; more processes want more")
 	tenantSoakSeed = flag.Uint64("tenants.seed", 1, "the seed of its troubles and changes; 0 draws one")
+	// soakRevocationMs is RevocationMs of TestRevokedKeysUnderTroubles, before it is stretched.
+	soakRevocationMs = flag.Float64("tenants.revocation", 1000, "RevocationMs of the soaks of revoked keys")
+	revokedSoakTime  = flag.Duration("revoked.time", 25*time.Second, "how long TestRevokedKeysUnderTroubles runs")
 )
 
 const (
@@ -41,19 +44,41 @@
 	// changes counts the changes that were acknowledged, troubles what was done.
 	changes  int
 	troubles map[string]int
+	// kinds is how many kinds of troubles there are.
+	kinds int
 }
 
+// Kinds of troubles: the first soakKinds, and those that overlap too.
+const (
+	soakKinds        = 5
+	overlappingKinds = 7
+)
+
 // Under troubles drawn by lot, and whatever is changed meanwhile, keys are kept
 // on connections that stay open until their front is gone.
 func TestTenantKeysUnderTroubles(t *testing.T) {
+	runTenantSoak(t, soakKinds, *tenantSoakTime)
+}
+
+// Where the settings say RevocationClosed, a key that was removed longer than
+// RevocationMs ago runs nowhere, whatever trouble a front or the control nodes
+// have. Guards against fronts and control nodes that take their own start, or
+// what they heard long before, for contact with a majority.
+func TestRevokedKeysUnderTroubles(t *testing.T) {
+	runTenantSoak(t, overlappingKinds, *revokedSoakTime, func(c *testcluster.Cluster) { c.RevocationMs = *soakRevocationMs })
+}
+
+// runTenantSoak changes keys and makes troubles of so many kinds for a time.
+func runTenantSoak(t *testing.T, kinds int, duration time.Duration, configure ...func(*testcluster.Cluster)) {
+	t.Helper()
 	seed := *tenantSoakSeed
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
 	t.Log("seed", seed)
 	logEvents(t, *tenantEvents)
-	soak := &tenantSoak{tenantTest: startStretchedTenantTest(t, *tenantScale), troubles: map[string]int{}}
-	end := time.Now().Add(*tenantSoakTime)
+	soak := &tenantSoak{tenantTest: startStretchedTenantTest(t, *tenantScale, configure...), troubles: map[string]int{}, kinds: kinds}
+	end := time.Now().Add(duration)
 	stopClients := soak.startClients(seed)
 	var operators sync.WaitGroup
 	operators.Go(func() { soak.changeKeys(rand.New(rand.NewPCG(seed, 1)), end) })
@@ -179,7 +204,7 @@
 func (s *tenantSoak) makeTroubles(draw *rand.Rand, end time.Time) {
 	var overlapping sync.WaitGroup
 	for time.Now().Before(end) {
-		kind, node := draw.IntN(5), draw.IntN(100)
+		kind, node := draw.IntN(s.kinds), draw.IntN(100)
 		pause := time.Duration(200+draw.IntN(900)) * time.Millisecond
 		if draw.IntN(3) == 0 {
 			overlapping.Go(func() { s.trouble(kind, node, pause) })
@@ -225,5 +250,32 @@
 		s.UseInternalPort(partitionPort, fmt.Sprint(front))
 		time.Sleep(pause)
 		s.UseInternalPort(s.Port, fmt.Sprint(front))
+	case 5:
+		s.troubles["a control node down, then alone"]++
+		defer s.judge.Trouble(0)()
+		s.Kill(fmt.Sprint(control))
+		time.Sleep(2 * pause)
+		s.leaveAlone(control, front, pause, func() { s.StartNode(control, false, 1, 2, 3) })
+	case 6:
+		s.troubles["a control node cut off, then alone"]++
+		defer s.judge.Trouble(0)()
+		s.UseInternalPort(partitionPort, fmt.Sprint(control))
+		time.Sleep(2 * pause)
+		s.leaveAlone(control, front, pause, func() { s.UseInternalPort(s.Port, fmt.Sprint(control)) })
+	}
+}
+
+// leaveAlone kills a front and all control nodes but one, which returns just
+// then, starts the front at once, and the others after a while.
+func (s *tenantSoak) leaveAlone(control, front int, pause time.Duration, giveBack func()) {
+	others := []int{1 + control%3, 1 + (control+1)%3}
+	for _, n := range append([]int{front}, others...) {
+		s.Kill(fmt.Sprint(n))
+	}
+	giveBack()
+	s.StartNode(front, false, control, control, control)
+	time.Sleep(2 * pause)
+	for _, n := range others {
+		s.StartNode(n, false, 1, 2, 3)
 	}
 }
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -43,6 +43,9 @@
 	// started.
 	TimeScale float64
 	LastFront int
+	// RevocationMs, where it is set, is RevocationMs of the settings, before it is
+	// stretched, with RevocationClosed. It must be set before nodes are started.
+	RevocationMs float64
 	// MetricsPort is the port of the nodes' metrics, 0 for none. It must be set
 	// before nodes are started.
 	MetricsPort int
--- a/internal/testcluster/scenarios.go
+++ b/internal/testcluster/scenarios.go
@@ -19,10 +19,14 @@
 }
 
 // StartStretched is StartDefault with all bounds and intervals stretched.
-func StartStretched(t *testing.T, timeScale float64) (*Cluster, map[string]*Endpoint) {
+// configure sets what must be set before nodes are started.
+func StartStretched(t *testing.T, timeScale float64, configure ...func(*Cluster)) (*Cluster, map[string]*Endpoint) {
 	t.Helper()
 	c := New(t)
 	c.TimeScale = timeScale
+	for _, set := range configure {
+		set(c)
+	}
 	endpoints := map[string]*Endpoint{}
 	for _, id := range []string{"s1-a", "s1-b", "s2-a", "s2-b", "plain-a", "plain-b"} {
 		endpoints[id] = c.AddEndpoint(strings.Split(id, "-")[0], id)
--- a/internal/testcluster/settings.go
+++ b/internal/testcluster/settings.go
@@ -61,9 +61,10 @@
 	}
 	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: %s, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: %v, ToleratedLosses: {Machines: %d},
  ListenAddresses: {%s},
- Bounds: {InTouchMs: %v, AcknowledgeMs: %v, CatchUpS: %v, DrainMs: %v, GraceS: %v, ConfigEffectMs: %v, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100, ExposureShare: 0.3, ExposureSlack: 50, RollbackMs: %v}, CloudApi: {Address: %q}}`,
+ Bounds: {InTouchMs: %v, AcknowledgeMs: %v, CatchUpS: %v, DrainMs: %v, GraceS: %v, ConfigEffectMs: %v, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100, ExposureShare: 0.3, ExposureSlack: 50, RollbackMs: %v, RevocationClosed: %v, RevocationMs: %v}, CloudApi: {Address: %q}}`,
 		n, c.IP(n), zone, serves, c.Port, c.Port+10, strings.Join(seedNodes, ","), firstStart, dataDir, 300*scale, c.ToleratedLosses, listen,
-		c.scaled(inTouchTime).Milliseconds(), 2500*scale, 1*scale, 800*scale, 1*scale, c.scaled(configurationEffect).Milliseconds(), 1500*scale, c.platform.Listener.Addr())
+		c.scaled(inTouchTime).Milliseconds(), 2500*scale, 1*scale, 800*scale, 1*scale, c.scaled(configurationEffect).Milliseconds(), 1500*scale,
+		c.RevocationMs > 0, c.RevocationMs*scale, c.platform.Listener.Addr())
 	settings, err := config.ParseSettings([]byte(text))
 	if err != nil {
 		c.T.Fatalf("settings: %v\n%s", err, text)
@@ -71,4 +72,9 @@
 	return settings
 }
 
+// revocation is after how long a removed key runs nowhere any more, 0 for no bound.
+func (c *Cluster) revocation() time.Duration {
+	return c.scaled(time.Duration(c.RevocationMs * float64(time.Millisecond)))
+}
+
 func (c *Cluster) address(n, port int) string { return fmt.Sprintf("%s:%d", c.IP(n), port) }
--- a/internal/testcluster/tenant_judge.go
+++ b/internal/testcluster/tenant_judge.go
@@ -140,7 +140,7 @@
 	}
 	allowed := map[string]bool{"": true}
 	if r.Key != "" {
-		allowed = j.operator.allowedOwners(r.Key, r.SentAt, r.EndedAt, !j.wasInTrouble(r), j.cluster.ConfigurationEffect())
+		allowed = j.operator.allowedOwners(r.Key, r.SentAt, r.EndedAt, !j.wasInTrouble(r), j.cluster.ConfigurationEffect(), j.cluster.revocation())
 	}
 	names := slices.DeleteFunc(mapKeys(allowed), func(name string) bool { return name == "" })
 	for _, run := range runs {
--- a/internal/testcluster/tenants.go
+++ b/internal/testcluster/tenants.go
@@ -185,8 +185,9 @@
 // allowedOwners returns the tenants that a key may have for a request that was
 // sent at sentAt and ended at endedAt, "" if it may be unknown. Where isBound, a
 // version may not be in force any more once a later one was acknowledged for
-// longer than effect.
-func (o *TenantOperator) allowedOwners(key string, sentAt, endedAt time.Time, isBound bool, effect time.Duration) map[string]bool {
+// longer than effect. Where revocation is above 0, a version may not give a key
+// any more that a later one removed, acknowledged for longer than that.
+func (o *TenantOperator) allowedOwners(key string, sentAt, endedAt time.Time, isBound bool, effect, revocation time.Duration) map[string]bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	allowed := map[string]bool{}
@@ -194,11 +195,26 @@
 		if v.rejected || v.sentAt.After(endedAt) || isBound && o.isReplaced(v, sentAt, effect) {
 			continue
 		}
+		if revocation > 0 && o.isRevoked(v, key, sentAt, revocation) {
+			continue
+		}
 		allowed[v.owners[key]] = true
 	}
 	return allowed
 }
 
+// isRevoked reports whether a later version than v removed a key, and was
+// acknowledged long enough before sentAt.
+func (o *TenantOperator) isRevoked(v *tenantVersion, key string, sentAt time.Time, revocation time.Duration) bool {
+	for _, later := range o.versions {
+		removed := later.version > v.version && later.owners[key] == ""
+		if removed && !later.ackedAt.IsZero() && later.ackedAt.Add(revocation).Before(sentAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // isReplaced reports whether a later version than v must be in force for a
 // request that was sent at sentAt.
 func (o *TenantOperator) isReplaced(v *tenantVersion, sentAt time.Time, effect time.Duration) bool {
