--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -15,6 +15,8 @@
 	// failed. It doubles with each further one, up to maxAcceptPause.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = 80 * time.Millisecond
+	// acceptLogInterval is how often failed attempts are logged at most.
+	acceptLogInterval = time.Second
 	// idleEndedAtOnce is how many idle connections are ended where there is no
 	// descriptor left for another one.
 	idleEndedAtOnce = 16
@@ -29,7 +31,7 @@
 }
 
 // trackedListener accepts connections that its tracker knows, and whose callers
-// its hangupWatcher can watch.
+// its hangupWatcher can watch. One goroutine at a time accepts.
 type trackedListener struct {
 	net.Listener
 	tracker *ConnTracker
@@ -39,11 +41,13 @@
 	endsIdle bool
 	// timeouts may be nil.
 	timeouts func() (read, idle time.Duration)
+	// failureLoggedAt is when a failed attempt was logged last.
+	failureLoggedAt time.Time
 }
 
 // Accept implements net.Listener. The server that calls it ends with the first
 // error, so it returns only one that is final.
-func (l trackedListener) Accept() (net.Conn, error) {
+func (l *trackedListener) Accept() (net.Conn, error) {
 	conn, err := l.acceptNext()
 	if err != nil {
 		return nil, err
@@ -54,13 +58,14 @@
 }
 
 // acceptNext waits for the next connection, through errors that pass.
-func (l trackedListener) acceptNext() (net.Conn, error) {
+func (l *trackedListener) acceptNext() (net.Conn, error) {
 	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
 		conn, err := l.Listener.Accept()
 		if err == nil || !isPassing(err) {
 			return conn, err
 		}
-		if pause == minAcceptPause {
+		if time.Since(l.failureLoggedAt) > acceptLogInterval {
+			l.failureLoggedAt = time.Now()
 			events.Log(events.AcceptFailed, "addr", l.Addr(), "err", err)
 		}
 		if l.endsIdle && isOutOfDescriptors(err) {
--- a/internal/transport/listener_test.go
+++ b/internal/transport/listener_test.go
@@ -60,7 +60,8 @@
 	_ = socket.Close()
 	ended := make(chan error, 1)
 	go func() {
-		_, err := trackedListener{Listener: socket, tracker: &ConnTracker{}}.Accept()
+		listener := &trackedListener{Listener: socket, tracker: &ConnTracker{}}
+		_, err := listener.Accept()
 		ended <- err
 	}()
 	select {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -71,7 +71,7 @@
 	if tracker == nil {
 		tracker = &ConnTracker{}
 	}
-	listener = trackedListener{
+	listener = &trackedListener{
 		Listener: listener,
 		tracker:  tracker,
 		hangups:  &hangupWatcher{},
