Each ballot proposes an order of its own

An order was written to for each new ballot, while the acceptor in the same process held it as accepted under an earlier one: one ballot could stand for two values, whose OrderedAtMs (new in this series) or FromVersion (before it) differed, and nodes could apply different ones. Found by reading; no run showed it. TestAcceptedOrderDoesNotChange failed before: a later ballot proposed another time than the one that had been accepted.

--- a/internal/control/order_retirement_test.go
+++ b/internal/control/order_retirement_test.go
@@ -1,7 +1,10 @@
 package control_test
 
 import (
+	"encoding/json"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -224,3 +227,61 @@
 	ageOrders(h)
 	w.Eventually("the further order, later", func() bool { return orderPlain(w, 1, "v6") == 200 })
 }
+
+// fakeVoter answers as a voter that promises everything, and fails to accept. It
+// notes the values that it was asked to accept.
+type fakeVoter struct {
+	id, ip string
+	slot   int64
+
+	mu       sync.Mutex
+	accepted []consensus.Value
+}
+
+func (v *fakeVoter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var answer any
+	switch r.URL.Path {
+	case nodeapi.PathHeartbeat:
+		answer = nodeapi.Heartbeat{ID: v.id, IP: v.ip, DecidedSlot: v.slot, DurableSlot: v.slot}
+	case nodeapi.PathPeek:
+		answer = nodeapi.PeekResponse{AcceptorID: v.id, DecidedSlot: v.slot}
+	case nodeapi.PathConsensus:
+		var request nodeapi.ConsensusRequest
+		if err := json.NewDecoder(r.Body).Decode(&request); err == nil && request.Value == nil {
+			answer = nodeapi.ConsensusResponse{Response: consensus.Response{AcceptorID: v.id, DecidedSlot: v.slot, OK: true, Promised: request.Ballot}}
+		} else if err == nil {
+			v.mu.Lock()
+			v.accepted = append(v.accepted, *request.Value)
+			v.mu.Unlock()
+		}
+	}
+	if answer == nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// Guards against an accepted value that changes after it was accepted, since its
+// proposer goes on to write to it for the next ballot.
+func TestAcceptedOrderDoesNotChange(t *testing.T) {
+	w := startThreeControlNodes(t)
+	two := w.Control(2)
+	voter := &fakeVoter{id: two.ID(), ip: w.IP(2), slot: w.Control(1).State().Slot}
+	w.Kill("2")
+	w.Kill("3")
+	w.ServeFakeNode(2, voter.ServeHTTP)
+	w.Eventually("the order is proposed in several ballots", func() bool {
+		orderPlain(w, 1, "v2")
+		voter.mu.Lock()
+		defer voter.mu.Unlock()
+		return len(voter.accepted) > 3
+	})
+	voter.mu.Lock()
+	defer voter.mu.Unlock()
+	for _, value := range voter.accepted {
+		if first := voter.accepted[0]; !value.Equal(first) {
+			t.Fatalf("%+v was accepted, and %+v is proposed later", first.Rollout, value.Rollout)
+		}
+	}
+}
--- a/internal/control/rollout_api.go
+++ b/internal/control/rollout_api.go
@@ -116,9 +116,11 @@
 		if err := c.orderConflict(state, order, until); err != nil {
 			return err
 		}
-		order.FromVersion = c.versionInForce(state, order.Service)
-		order.OrderedAtMs = time.Now().UnixMilli()
-		value := &consensus.Value{Rollout: &order, RetiredOrderSlot: state.RetiredOrderSlot}
+		// A copy for each ballot: acceptors keep what they accepted.
+		proposed := order
+		proposed.FromVersion = c.versionInForce(state, order.Service)
+		proposed.OrderedAtMs = time.Now().UnixMilli()
+		value := &consensus.Value{Rollout: &proposed, RetiredOrderSlot: state.RetiredOrderSlot}
 		if !s.proposeUntil(state, value, until) {
 			s.backOff(attempt)
 		}
