Soak of orders: an order proposed in the millisecond of its sending is its own

The time that a decided order bears is rounded down to milliseconds, so it was counted for the order before. Now both ends of an order's span are compared in whole milliseconds; the judgement is as strict.

--- a/internal/control/orders_soak_test.go
+++ b/internal/control/orders_soak_test.go
@@ -235,7 +235,7 @@
 		slots := s.slotsOf(order, i)
 		switch {
 		case len(slots) > 1:
-			s.t.Errorf("the order to %s of %v started %d times", order.target, order.first.Format(time.StampMilli), len(slots))
+			s.t.Errorf("the order to %s of %v started %d times, in slots %v", order.target, order.first.Format(time.StampMilli), len(slots), slots)
 		case order.isNew && order.acknowledged && len(slots) == 0:
 			s.t.Errorf("the order to %s of %v was acknowledged and started nothing", order.target, order.first.Format(time.StampMilli))
 		}
@@ -258,12 +258,13 @@
 }
 
 // slotsOf lists the slots that decided an order: those of equal orders that were
-// proposed after its first sending, and before that of the next equal one.
+// proposed after its first sending, and before that of the next equal one. What
+// was decided bears whole milliseconds, rounded down, and is compared by these.
 func (s *orderSoak) slotsOf(order sentOrder, index int) (slots []int64) {
 	until := time.Now()
 	for _, next := range s.orders[index+1:] {
 		if next.target == order.target {
-			until = next.first
+			until = next.first.Truncate(time.Millisecond)
 			break
 		}
 	}
