--- a/internal/control/majority_test.go
+++ b/internal/control/majority_test.go
@@ -36,6 +36,22 @@
 			t.Fatalf("a node alone shows isolated %v, a majority %d ms ago", status.Isolated, status.MajorityAgeMs)
 		}
 	}
+	// It acknowledges nothing by what it remembers, but a change that it knows as
+	// decided, which stays so whatever came later.
+	for _, call := range []struct {
+		method, path, match, body string
+		want                      int
+	}{
+		{"GET", nodeapi.PathConfiguration, "", "", 503},
+		{"PUT", nodeapi.PathConfiguration, "3", testcluster.ConfigurationBody(4, "s1"), 503},
+		{"PUT", nodeapi.PathConfiguration, "0", testcluster.ConfigurationBody(3, "s1"), 200},
+		{"POST", nodeapi.PathPurge, "", `{"Tag":"x"}`, 503},
+		{"POST", nodeapi.PathRollouts, "", testcluster.RolloutBody, 503},
+	} {
+		if status, answer := w.Operate(3, call.method, call.path, call.match, call.body); status != call.want {
+			t.Errorf("%s %s by a node alone: %d %s", call.method, call.path, status, answer)
+		}
+	}
 	w.StartNode(1, false, 1, 2, 3)
 	w.Eventually("it hears a majority", func() bool { return !pollOnce(t, w, 3).LacksMajority })
 }
