Tests: clients that misbehave, red on the program as it is

A front or a control node with 64 MB and 700 descriptors, as a process of its own on loopback, meets 300 clients that send without end, stop short, leave answers unread or only connect. The tests check that the process lives, that its resident size and its descriptors stay under the limits of its settings, and that a small request and one with a body are answered afterwards; no times.

The bounds are those of the settings.

--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -46,6 +46,10 @@
 	// RevocationMs, where it is set, is RevocationMs of the settings, before it is
 	// stretched, with RevocationClosed. It must be set before nodes are started.
 	RevocationMs float64
+	// MemoryMb and FileDescriptors, where they are set, are the Limits of the
+	// settings. They must be set before nodes are started.
+	MemoryMb        float64
+	FileDescriptors int
 	// MetricsPort is the port of the nodes' metrics, 0 for none. It must be set
 	// before nodes are started.
 	MetricsPort int
--- a/internal/testcluster/endpoint.go
+++ b/internal/testcluster/endpoint.go
@@ -31,10 +31,15 @@
 	ModeHang Mode = "hang"
 	// ModeSurplus sends a second answer after the first.
 	ModeSurplus Mode = "surplus"
+	// ModeLarge answers with LargeAnswerBytes.
+	ModeLarge Mode = "large"
 	// ModeNoStamp answers without a server stamp.
 	ModeNoStamp Mode = "nostamp"
 )
 
+// LargeAnswerBytes is the size of an answer in ModeLarge.
+const LargeAnswerBytes = 256 << 10
+
 const (
 	slowAnswerDelay = 700 * time.Millisecond
 	hangTime        = 5 * time.Second
@@ -132,6 +137,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if mode == ModeLarge {
+		_, _ = w.Write(make([]byte, LargeAnswerBytes))
+		return
+	}
 	e.mu.Lock()
 	objectVersion := e.objectVersion
 	e.mu.Unlock()
--- a/internal/testcluster/processes.go
+++ b/internal/testcluster/processes.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -73,7 +75,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.writeSettings(n, firstStart, seeds)
-	command := exec.Command(p.binary, "run", "--settings", p.settingsPath(n))
+	arguments := []string{"run", "--settings", p.settingsPath(n)}
+	if p.MetricsPort > 0 {
+		arguments = append(arguments, "--metrics-port", strconv.Itoa(p.MetricsPort))
+	}
+	command := exec.Command(p.binary, arguments...)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		p.T.Errorf("node %d does not start: %v", n, err)
@@ -98,6 +104,36 @@
 	}
 }
 
+// Usage is what a process takes of its machine.
+type Usage struct {
+	// PeakMemoryMb is the greatest resident size that the process ever had.
+	PeakMemoryMb float64
+	// Descriptors is how many are open now.
+	Descriptors int
+}
+
+// Usage returns what the process of node n takes; ok is false if it is gone.
+func (p *Processes) Usage(n int) (usage Usage, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	command := p.running[n]
+	if command == nil {
+		return Usage{}, false
+	}
+	proc := filepath.Join("/proc", strconv.Itoa(command.Process.Pid))
+	status, err := os.ReadFile(filepath.Join(proc, "status"))
+	if err != nil {
+		return Usage{}, false
+	}
+	_, peak, found := strings.Cut(string(status), "VmHWM:")
+	var kilobytes float64
+	if _, err := fmt.Sscan(peak, &kilobytes); !found || err != nil {
+		return Usage{}, false // a zombie has no memory
+	}
+	descriptors, err := os.ReadDir(filepath.Join(proc, "fd"))
+	return Usage{PeakMemoryMb: kilobytes / 1024, Descriptors: len(descriptors)}, err == nil
+}
+
 // Reload writes the settings of node n anew, with other seeds, and sends SIGHUP.
 func (p *Processes) Reload(n int, seeds ...int) {
 	p.mu.Lock()
--- a/internal/testcluster/settings.go
+++ b/internal/testcluster/settings.go
@@ -60,9 +60,11 @@
 		seedNodes = append(seedNodes, fmt.Sprintf("%q", c.address(seed, controlPort)))
 	}
 	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: %s, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: %v, ToleratedLosses: {Machines: %d},
+ Limits: {MemoryMb: %v, FileDescriptors: %d},
  ListenAddresses: {%s},
  Bounds: {InTouchMs: %v, AcknowledgeMs: %v, CatchUpS: %v, DrainMs: %v, GraceS: %v, ConfigEffectMs: %v, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100, ExposureShare: 0.3, ExposureSlack: 50, RollbackMs: %v, RevocationClosed: %v, RevocationMs: %v}, CloudApi: {Address: %q}}`,
-		n, c.IP(n), zone, serves, c.Port, c.Port+10, strings.Join(seedNodes, ","), firstStart, dataDir, 300*scale, c.ToleratedLosses, listen,
+		n, c.IP(n), zone, serves, c.Port, c.Port+10, strings.Join(seedNodes, ","), firstStart, dataDir, 300*scale, c.ToleratedLosses,
+		c.MemoryMb, c.FileDescriptors, listen,
 		c.scaled(inTouchTime).Milliseconds(), 2500*scale, 1*scale, 800*scale, 1*scale, c.scaled(configurationEffect).Milliseconds(), 1500*scale,
 		c.RevocationMs > 0, c.RevocationMs*scale, c.platform.Listener.Addr())
 	settings, err := config.ParseSettings([]byte(text))
