Requests are read within limits, and take their memory of a budget

What callers saw: a front or a control node that met a crowd took many times its memory, which the platform answers with a kill, and every request under way on it was lost.

Cause: hertz's connection keeps each part of a request that it read, and each look at a head that grew copies all of it into memory that is given back only after the response: heads that come byte by byte cost the square of their size. It reads trailers and the blanks behind a chunk size without end, sets memory aside for a chunk or a length once that is announced, and holds chunks and the body made of them. Nothing bounded all connections together, and bodies of up to a message's size were read before the operator's limit was looked at.

Change: transport has a connection of its own for hertz. It reads each request whole, head, chunks and trailers, within the limits in force, and gives hertz a head that announces its length and a body without chunks. Each buffer takes its bytes, parsed fields included, of one Budget of the process before it grows: a quarter of MemoryMb, three quarters of which one listener may take. Where there is no room, connections make room that are refused, rest with memory held, or have been read for a quarter of HeaderTimeoutMs; who finds none waits, the newest first, and gets 503 in the end. The first 4 KiB of a request are free, so small ones never wait. Refusals are 400, 413, 431, and 408 and 503, which promise that nothing ran: no refused request was handed on. They are followed by a short linger, since closing with unread bytes would reset the connection and with it the answer. All listeners go this way.

Why it works: all that a caller can make grow goes through charge, and what a connection took is given back when it closes, whatever the reason (TestBudgetIsGivenBack).

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -42,6 +42,7 @@
 	{SettingsUnsupported, "settings-unsupported", LevelWarn, "The settings ask for what this program does not do: a part of the service rules, a duty, or a way of working; run a version that does it before relying on it."},
 	{AcceptFailed, "accept-failed", LevelWarn, "A connection could not be accepted, mostly since no descriptor was left, and the node goes on trying while connections that rest are ended; if it recurs, raise the limit of descriptors or add fronts."},
 	{ServerEnded, "server-ended", LevelError, "The server of an address ended, though the node did not close it, and nobody is served there any more; restart the node and report it."},
+	{CallersAtLimit, "callers-at-limit", LevelWarn, "Callers take all connections or buffers that the settings leave for them, and those that do nothing or are slow are ended to make room; add fronts if they are ordinary callers."},
 
 	{MessageRejected, "message-rejected", LevelWarn, "A malformed message from another node was rejected; if it recurs, compare the versions of the two nodes."},
 
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -18,6 +18,7 @@
 	SettingsUnsupported    Event = 1010
 	AcceptFailed           Event = 1011
 	ServerEnded            Event = 1012
+	CallersAtLimit         Event = 1013
 )
 
 // Calls between nodes.
--- a/internal/front/client_listener.go
+++ b/internal/front/client_listener.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync/atomic"
-	"time"
 
 	"swiftswitch/internal/frontend"
 	"swiftswitch/internal/host"
@@ -29,23 +28,16 @@
 
 	// listener is nil until the address could be bound.
 	listener atomic.Pointer[net.Listener]
-	// connections tracks which connections are idle.
-	connections transport.ConnTracker
+	// connections tracks the clients' connections.
+	connections *transport.ConnTracker
 }
 
 // start listens in the background. Until the node has a configuration and an
 // endpoint table, requests wait in the handler.
 func (l *clientListener) start() {
 	options := l.host.ServerOptions(l.defaultLimits.IdleTimeout)
-	options.MaxHeaderBytes = l.host.MaxMessageBytes() / maxHeaderDivisor
-	options.Tracker = &l.connections
-	options.Timeouts = func() (header, idle time.Duration) {
-		limits := l.defaultLimits
-		if snapshot := l.handler.Snapshot(); snapshot != nil {
-			limits = snapshot.RouteTable.Limits
-		}
-		return limits.HeaderTimeout, limits.IdleTimeout
-	}
+	options.Tracker = l.connections
+	options.Limits = l.limits
 	go func() {
 		ln, err := transport.Listen(l.host.Settings().ListenAddresses.FrontAddress, l.host.TCPUserTimeout(), l.host.Heartbeats(listenRetryHeartbeats), l.host.Stopping)
 		if err != nil {
@@ -56,6 +48,26 @@
 	}()
 }
 
+// limits returns what bounds the clients' next requests: the operator's limits,
+// as far as the node's memory allows, and until they are known the memory alone.
+func (l *clientListener) limits() transport.RequestLimits {
+	limits := transport.RequestLimits{
+		HeaderBytes: l.host.MaxMessageBytes() / maxHeaderDivisor,
+		BodyBytes:   l.host.MaxMessageBytes(),
+		ReadTimeout: l.defaultLimits.HeaderTimeout,
+		IdleTimeout: l.defaultLimits.IdleTimeout,
+	}
+	snapshot := l.handler.Snapshot()
+	if snapshot == nil {
+		return limits
+	}
+	inForce := &snapshot.RouteTable.Limits
+	limits.HeaderBytes = min(limits.HeaderBytes, inForce.HeaderBytes)
+	limits.BodyBytes = min(limits.BodyBytes, inForce.BodyBytes)
+	limits.ReadTimeout, limits.IdleTimeout = inForce.HeaderTimeout, inForce.IdleTimeout
+	return limits
+}
+
 // isListening reports whether clients can connect.
 func (l *clientListener) isListening() bool { return l.listener.Load() != nil }
 
--- a/internal/front/construct.go
+++ b/internal/front/construct.go
@@ -122,7 +122,12 @@
 		s.relays = relay.NewBalancer(s.host.Heartbeats(relayEjectionHeartbeats))
 		s.frontend.SetRelays(s.relays, s.callRelay)
 	}
-	s.clients = &clientListener{host: s.host, handler: s.frontend, defaultLimits: defaultLimits(s.host)}
+	s.clients = &clientListener{
+		host:          s.host,
+		handler:       s.frontend,
+		defaultLimits: defaultLimits(s.host),
+		connections:   s.host.Budget.NewTracker(),
+	}
 }
 
 // buildControllers makes what follows the state that control nodes announce.
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -149,8 +149,8 @@
 	if err != nil {
 		t.Fatal("no listener")
 	}
-	timeouts := func() (time.Duration, time.Duration) { return time.Second, time.Second }
-	server := transport.Serve(ln, transport.ServerOptions{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 22, TCPUserTimeout: time.Second, Timeouts: timeouts}, h.Handle)
+	limits := transport.RequestLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 22, ReadTimeout: time.Second, IdleTimeout: time.Second}
+	server := transport.Serve(ln, transport.ServerOptions{RequestLimits: limits, TCPUserTimeout: time.Second}, h.Handle)
 	t.Cleanup(func() { _ = server.Close(); _ = ln.Close() })
 	return ln.Addr().String(), h
 }
--- a/internal/host/bounds.go
+++ b/internal/host/bounds.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math"
 	"time"
 
 	"swiftswitch/internal/config"
@@ -25,6 +26,14 @@
 	// message may take one part in messageMemoryParts of the memory.
 	defaultMemoryMb    = 256
 	messageMemoryParts = 32
+	// retryAfterHeartbeats is when a caller may come back that found no room.
+	retryAfterHeartbeats = 0.02
+)
+
+// What callers may make a node take of its Limits.
+const (
+	// callerBufferRatio of MemoryMb is for the buffers of callers.
+	callerBufferRatio = 0.25
 )
 
 // TCPUserTimeout is how long sent bytes may stay unacknowledged before the
@@ -73,22 +82,37 @@
 	return rollout.Exposure{Share: bounds.ExposureShare, Slack: bounds.ExposureSlack}
 }
 
-// MaxMessageBytes bounds a message between nodes, unpacked or not.
-func (h *Host) MaxMessageBytes() int {
+// memoryBytes is the memory that the node may take.
+func (h *Host) memoryBytes() float64 {
 	memoryMb := h.Settings().Limits.MemoryMb
 	if memoryMb <= 0 {
 		memoryMb = defaultMemoryMb
 	}
-	return int(memoryMb * (1 << 20) / messageMemoryParts)
+	return memoryMb * (1 << 20)
+}
+
+// MaxMessageBytes bounds a message between nodes, unpacked or not.
+func (h *Host) MaxMessageBytes() int { return int(h.memoryBytes() / messageMemoryParts) }
+
+// callerLimits is what the callers of all listeners may take together.
+func (h *Host) callerLimits() transport.ResourceLimits {
+	return transport.ResourceLimits{
+		BufferBytes: int(h.memoryBytes() * callerBufferRatio),
+		Connections: math.MaxInt32,
+	}
 }
 
 // ServerOptions are the limits of a listener for other nodes.
 func (h *Host) ServerOptions(idleTimeout time.Duration) transport.ServerOptions {
 	return transport.ServerOptions{
-		MaxHeaderBytes: maxInternalHeaderBytes,
-		MaxBodyBytes:   h.MaxMessageBytes(),
-		ReadTimeout:    config.Milliseconds(h.Settings().Bounds.InTouchMs, readTimeoutRatio),
-		IdleTimeout:    idleTimeout,
+		RequestLimits: transport.RequestLimits{
+			HeaderBytes: maxInternalHeaderBytes,
+			BodyBytes:   h.MaxMessageBytes(),
+			ReadTimeout: config.Milliseconds(h.Settings().Bounds.InTouchMs, readTimeoutRatio),
+			IdleTimeout: idleTimeout,
+		},
 		TCPUserTimeout: h.TCPUserTimeout(),
+		RetryAfter:     h.Heartbeats(retryAfterHeartbeats),
+		Budget:         h.Budget,
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -35,6 +35,8 @@
 	Options   Options
 	// Metrics holds the counters and gauges of the node.
 	Metrics *metrics.Registry
+	// Budget bounds what the callers of all listeners may take.
+	Budget *transport.Budget
 	// Client calls other nodes.
 	Client *transport.Client
 	// Stopping is closed when the node ends. Every goroutine of its servers
@@ -62,6 +64,7 @@
 		ViewLoop:  commandloop.New(),
 	}
 	h.settings.Store(settings)
+	h.Budget = transport.NewBudget(h.callerLimits(), h.Metrics)
 	h.Client = transport.NewClient(transport.ClientOptions{
 		MaxIdlePerNode: maxIdleConnections,
 		IdleTimeout:    config.Milliseconds(settings.Bounds.InTouchMs, 1),
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -64,7 +64,11 @@
 	if n.Draining.Load() {
 		draining = 1
 	}
+	callers := n.Budget.Usage()
 	gauges := []metrics.Gauge{
+		{Name: "caller_connections", Help: "Connections that were accepted and are open.", Value: float64(callers.Connections)},
+		{Name: "caller_buffer_bytes", Help: "Bytes that requests and responses of callers take of the budget.", Value: float64(callers.BufferBytes)},
+		{Name: "callers_waiting", Help: "Requests that wait for room in the budget.", Value: float64(callers.Waiting)},
 		{Name: "up_seconds", Help: "Time since the process started.", Value: n.Now().Seconds()},
 		{Name: "draining", Help: "Whether the node drains.", Value: draining},
 		{Name: "unsupported_settings", Help: "Things that the settings ask for and this program does not do.", Value: float64(len(n.Settings().Unsupported()))},
--- a/internal/transport/caller.go
+++ b/internal/transport/caller.go
@@ -21,6 +21,9 @@
 	// fd is the connection's socket, negative once it is closed.
 	// hangupWatcher.mu guards it: the socket is not closed under a look at it.
 	fd int32
+	// conn is the connection whose budget the responses to the caller take, nil
+	// for none.
+	conn *serverConn
 }
 
 // callerKey is the key of the Caller among the values of a handler's context.
@@ -29,22 +32,17 @@
 // newCaller returns the caller of an accepted connection.
 func newCaller(conn net.Conn, watcher *hangupWatcher) *Caller {
 	c := &Caller{watcher: watcher, fd: socketOf(conn)}
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancel(context.WithValue(context.Background(), callerKey{}, c))
 	return c
 }
 
 // CallerFrom returns the caller of the request that a handler of Serve was
-// given this context for, nil where the context is another.
+// given this context for, or one made of it; nil where the context is another.
 func CallerFrom(ctx context.Context) *Caller {
 	caller, _ := ctx.Value(callerKey{}).(*Caller)
 	return caller
 }
 
-// handlerContext returns the context of the handlers of this caller's requests.
-func (c *Caller) handlerContext() context.Context {
-	return context.WithValue(c.ctx, callerKey{}, c)
-}
-
 // Context returns a context that is canceled once the caller was seen to have
 // left. Nobody looks for that but Left, Watch, and the connection's reader
 // between two requests.
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -35,26 +35,28 @@
 type trackedListener struct {
 	net.Listener
 	tracker *ConnTracker
+	options *ServerOptions
 	hangups *hangupWatcher
-	// endsIdle: connections that rest make room for new ones where there is no
-	// descriptor left.
-	endsIdle bool
-	// timeouts may be nil.
-	timeouts func() (read, idle time.Duration)
 	// failureLoggedAt is when a failed attempt was logged last.
 	failureLoggedAt time.Time
 }
 
-// Accept implements net.Listener. The server that calls it ends with the first
-// error, so it returns only one that is final.
-func (l *trackedListener) Accept() (net.Conn, error) {
-	conn, err := l.acceptNext()
-	if err != nil {
-		return nil, err
+// accept waits for the next connection for which there is room. The server ends
+// with the first error, so only one that is final is returned.
+func (l *trackedListener) accept() (*serverConn, error) {
+	for {
+		conn, err := l.acceptNext()
+		if err != nil {
+			return nil, err
+		}
+		setTCPUserTimeoutOn(conn, l.options.TCPUserTimeout)
+		c := newServerConn(conn, l.tracker, l.options, l.hangups)
+		if l.tracker.budget.admit(c) {
+			return c, nil
+		}
+		l.tracker.budget.metrics.refusals[refusedNoRoom].Inc()
+		_ = c.Close()
 	}
-	c := &trackedConn{Conn: conn, caller: newCaller(conn, l.hangups), tracker: l.tracker, timeouts: l.timeouts, idle: true, idleSince: time.Now()}
-	l.tracker.add(c)
-	return c, nil
 }
 
 // acceptNext waits for the next connection, through errors that pass.
@@ -68,7 +70,7 @@
 			l.failureLoggedAt = time.Now()
 			events.Log(events.AcceptFailed, "addr", l.Addr(), "err", err)
 		}
-		if l.endsIdle && isOutOfDescriptors(err) {
+		if isOutOfDescriptors(err) {
 			l.tracker.EndIdle(idleEndedAtOnce)
 		}
 		time.Sleep(pause)
--- a/internal/transport/listener_test.go
+++ b/internal/transport/listener_test.go
@@ -60,8 +60,8 @@
 	_ = socket.Close()
 	ended := make(chan error, 1)
 	go func() {
-		listener := &trackedListener{Listener: socket, tracker: &ConnTracker{}}
-		_, err := listener.Accept()
+		listener := &trackedListener{Listener: socket, tracker: unlimited().NewTracker(), options: &ServerOptions{}}
+		_, err := listener.accept()
 		ended <- err
 	}()
 	select {
@@ -77,10 +77,10 @@
 // Where no descriptor is left, the connection that has rested for longest makes
 // room, and none with a request under way.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
-	tracker := &ConnTracker{}
+	tracker := unlimited().NewTracker()
 	options := testOptions()
 	options.Tracker = tracker
-	options.Timeouts = func() (read, idle time.Duration) { return 10 * time.Second, 10 * time.Second }
+	options.ReadTimeout, options.IdleTimeout = 10*time.Second, 10*time.Second
 	busy, release := make(chan bool, 1), make(chan bool)
 	listener := startServer(t, anyPort, options, func(c *app.RequestContext) {
 		if string(c.Request.URI().Path()) == "/wait" {
--- a/internal/transport/main_test.go
+++ b/internal/transport/main_test.go
@@ -22,10 +22,7 @@
 // testOptions are limits that no test runs into.
 func testOptions() ServerOptions {
 	return ServerOptions{
-		MaxHeaderBytes: 1 << 16,
-		MaxBodyBytes:   1 << 20,
-		ReadTimeout:    time.Second,
-		IdleTimeout:    time.Second,
+		RequestLimits:  RequestLimits{HeaderBytes: 1 << 16, BodyBytes: 1 << 20, ReadTimeout: time.Second, IdleTimeout: time.Second},
 		TCPUserTimeout: time.Second,
 	}
 }
--- /dev/null
+++ b/internal/transport/request_body.go
@@ -0,0 +1,92 @@
+package transport
+
+import (
+	"bytes"
+	"errors"
+	"time"
+)
+
+var interimContinue = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+
+// readBody reads the body of the present request, whose head was consumed.
+func (r *requestReader) readBody(framing requestFraming) error {
+	if framing.length > 0 {
+		if err := r.charge(&r.charges.body, int(framing.length)); err != nil {
+			return err
+		}
+	}
+	if framing.expectsContinue {
+		_ = r.conn.setWriteDeadline(time.Now().Add(refusalWriteTimeout))
+		if _, err := r.conn.Conn.Write(interimContinue); err != nil {
+			return err
+		}
+	}
+	if framing.chunked {
+		return r.readChunks()
+	}
+	if framing.length <= 0 {
+		return nil
+	}
+	r.body = make([]byte, framing.length)
+	for unread := r.body; len(unread) > 0; {
+		n, err := r.readInto(unread)
+		if n == 0 && err != nil {
+			return err
+		}
+		unread = unread[n:]
+	}
+	return nil
+}
+
+// readChunks reads a body in chunks. The trailers may take as much as a head.
+func (r *requestReader) readChunks() error {
+	chunks := chunkReader{
+		source:          r,
+		reserve:         func(size int) error { return r.charge(&r.charges.body, size) },
+		maxBytes:        r.limits.BodyBytes,
+		maxTrailerBytes: r.limits.HeaderBytes,
+	}
+	err := chunks.read()
+	r.body = chunks.body
+	switch {
+	case errors.Is(err, errMalformedChunks):
+		return refusedMalformed
+	case errors.Is(err, errBodyTooLarge):
+		return refusedBodyTooLarge
+	case errors.Is(err, errTrailersTooLarge):
+		return refusedHeadTooLarge
+	}
+	return err
+}
+
+// readLine implements chunkSource.
+func (r *requestReader) readLine(maxBytes int) ([]byte, error) {
+	for scanned := 0; ; {
+		unread := r.buf[r.start:r.end]
+		if i := bytes.IndexByte(unread[scanned:], '\n'); i >= 0 {
+			size := scanned + i + 1
+			if size > maxBytes {
+				return nil, errLineTooLong
+			}
+			r.start += size
+			return unread[:size], nil
+		}
+		scanned = len(unread)
+		if scanned >= maxBytes {
+			return nil, errLineTooLong
+		}
+		if err := r.readMore(maxBytes); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// readInto implements chunkSource.
+func (r *requestReader) readInto(p []byte) (int, error) {
+	if r.start < r.end {
+		n := copy(p, r.buf[r.start:r.end])
+		r.start += n
+		return n, nil
+	}
+	return r.conn.Conn.Read(p)
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"time"
 
@@ -10,14 +11,11 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/network"
 
 	"swiftswitch/internal/events"
 )
 
-// readBufferBytes is the size of the buffer that each connection holds.
-const readBufferBytes = 2048
-
 // ErrStopped is the error of Listen when it was stopped before it could listen.
 var ErrStopped = errors.New("stopped before listening")
 
@@ -25,22 +23,37 @@
 
 // ServerOptions are the limits of one listener.
 type ServerOptions struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int
-	// ReadTimeout bounds the reading of a request, from the accepted
-	// connection on or from the request's first byte.
-	ReadTimeout time.Duration
-	// IdleTimeout is how long a connection may rest between requests.
-	IdleTimeout time.Duration
+	RequestLimits
 	// TCPUserTimeout is after how long without an acknowledgement a connection
 	// is broken.
 	TCPUserTimeout time.Duration
-	// Timeouts, where set, is called for each read in place of ReadTimeout and
-	// IdleTimeout.
-	Timeouts func() (read, idle time.Duration)
-	// Tracker, where set, tracks the connections; those that rest are ended
-	// where there is no descriptor left for a new one.
+	// RetryAfter is when a caller may come back that found no room.
+	RetryAfter time.Duration
+	// Limits, where set, is called for each request in place of RequestLimits.
+	Limits func() RequestLimits
+	// Tracker, where set, tracks the connections. Otherwise the listener has one
+	// of its own of Budget, which is without limits if it is nil.
 	Tracker *ConnTracker
+	Budget  *Budget
+}
+
+// limits returns the limits of the next request.
+func (o *ServerOptions) limits() RequestLimits {
+	if o.Limits != nil {
+		return o.Limits()
+	}
+	return o.RequestLimits
+}
+
+// tracker returns the tracker of the listener.
+func (o *ServerOptions) tracker() *ConnTracker {
+	switch {
+	case o.Tracker != nil:
+		return o.Tracker
+	case o.Budget != nil:
+		return o.Budget.NewTracker()
+	}
+	return unlimited().NewTracker()
 }
 
 // Listen opens a listening socket on addr (host:port). While that fails, it
@@ -67,29 +80,18 @@
 // context that handle is given belongs to the connection: CallerFrom returns
 // its Caller. The server ends with its listener.
 func Serve(listener net.Listener, options ServerOptions, handle app.HandlerFunc) *server.Hertz {
-	tracker := options.Tracker
-	if tracker == nil {
-		tracker = &ConnTracker{}
-	}
-	listener = &trackedListener{
+	accepting := &trackedListener{
 		Listener: listener,
-		tracker:  tracker,
+		tracker:  options.tracker(),
+		options:  &options,
 		hangups:  &hangupWatcher{},
-		endsIdle: options.Tracker != nil,
-		timeouts: options.Timeouts,
-	}
-	if options.Timeouts != nil {
-		options.ReadTimeout, options.IdleTimeout = readPlaceholder, idlePlaceholder
 	}
 	h := server.New(
 		server.WithListener(listener),
-		server.WithTransport(standard.NewTransporter),
-		server.WithMaxHeaderBytes(options.MaxHeaderBytes),
-		server.WithMaxRequestBodySize(options.MaxBodyBytes),
-		server.WithReadTimeout(options.ReadTimeout),
-		server.WithKeepAliveTimeout(options.ReadTimeout),
-		server.WithIdleTimeout(options.IdleTimeout),
-		server.WithReadBufferSize(readBufferBytes),
+		server.WithTransport(func(*config.Options) network.Transporter { return &transporter{listener: accepting} }),
+		// The requests that hertz is given are within the limits already.
+		server.WithMaxHeaderBytes(0),
+		server.WithMaxRequestBodySize(math.MaxInt),
 		server.WithUseRawPath(true),
 		server.WithUnescapePathValues(false),
 		server.WithRedirectTrailingSlash(false),
@@ -99,11 +101,6 @@
 		server.WithDisableDefaultContentType(true),
 		server.WithDisablePrintRoute(true),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
-		server.WithOnAccept(func(conn net.Conn) context.Context {
-			setTCPUserTimeoutOn(conn, options.TCPUserTimeout)
-			_ = conn.SetReadDeadline(time.Now().Add(options.ReadTimeout))
-			return conn.(*trackedConn).caller.handlerContext()
-		}),
 	)
 	h.NoRoute(handle)
 	h.NoMethod(handle)
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -21,9 +21,6 @@
 // setTCPUserTimeoutOn sets TCP_USER_TIMEOUT on a connection that a listener
 // accepted.
 func setTCPUserTimeoutOn(conn net.Conn, timeout time.Duration) {
-	if tracked, ok := conn.(*trackedConn); ok {
-		conn = tracked.Conn
-	}
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return
--- a/internal/transport/tracker_test.go
+++ b/internal/transport/tracker_test.go
@@ -14,10 +14,10 @@
 // A client that was told to go on with its body is in the middle of a request:
 // a draining listener reads and answers it, and ends the connection then.
 func TestDrainAnswersRequestAfterContinue(t *testing.T) {
-	tracker := &ConnTracker{}
+	tracker := unlimited().NewTracker()
 	options := testOptions()
 	options.Tracker = tracker
-	options.Timeouts = func() (read, idle time.Duration) { return time.Second, time.Second }
+	options.ReadTimeout, options.IdleTimeout = time.Second, time.Second
 	listener := startServer(t, anyPort, options, func(c *app.RequestContext) {
 		WriteJSON(c, 200, string(c.Request.Body()))
 	})
@@ -52,10 +52,10 @@
 
 // Drain ends a connection that rests between requests without an answer.
 func TestDrainEndsIdleConnections(t *testing.T) {
-	tracker := &ConnTracker{}
+	tracker := unlimited().NewTracker()
 	options := testOptions()
 	options.Tracker = tracker
-	options.Timeouts = func() (read, idle time.Duration) { return 10 * time.Second, 10 * time.Second }
+	options.ReadTimeout, options.IdleTimeout = 10*time.Second, 10*time.Second
 	listener := startServer(t, anyPort, options, func(c *app.RequestContext) { WriteJSON(c, 200, "a") })
 	conn, err := net.Dial("tcp4", listener.Addr().String())
 	if err != nil {
