--- a/internal/host/bounds.go
+++ b/internal/host/bounds.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"math"
 	"time"
 
 	"swiftswitch/internal/config"
@@ -32,8 +31,20 @@
 
 // What callers may make a node take of its Limits.
 const (
-	// callerBufferRatio of MemoryMb is for the buffers of callers.
-	callerBufferRatio = 0.25
+	// defaultFileDescriptors is assumed where the settings give no limit.
+	defaultFileDescriptors = 1024
+	// reservedFileDescriptors are kept for files.
+	reservedFileDescriptors = 200
+	// callerDescriptorRatio of the other descriptors are for accepted
+	// connections. The rest is for connections to searchers and nodes.
+	callerDescriptorRatio = 0.75
+	// callerBufferRatio and callerConnectionRatio of MemoryMb are for the buffers
+	// and for the connections of callers.
+	callerBufferRatio     = 0.25
+	callerConnectionRatio = 0.25
+	// connectionBytes is about what a connection takes besides buffers: its
+	// goroutine's stack and what the library keeps for it.
+	connectionBytes = 16 << 10
 )
 
 // TCPUserTimeout is how long sent bytes may stay unacknowledged before the
@@ -96,9 +107,15 @@
 
 // callerLimits is what the callers of all listeners may take together.
 func (h *Host) callerLimits() transport.ResourceLimits {
+	descriptors := h.Settings().Limits.FileDescriptors
+	if descriptors <= 0 {
+		descriptors = defaultFileDescriptors
+	}
+	byDescriptors := float64(max(descriptors-reservedFileDescriptors, 1)) * callerDescriptorRatio
+	byMemory := h.memoryBytes() * callerConnectionRatio / connectionBytes
 	return transport.ResourceLimits{
 		BufferBytes: int(h.memoryBytes() * callerBufferRatio),
-		Connections: math.MaxInt32,
+		Connections: int(min(byDescriptors, byMemory)),
 	}
 }
 
--- a/internal/node/crowd_process_test.go
+++ b/internal/node/crowd_process_test.go
@@ -208,3 +208,24 @@
 		})
 	}
 }
+
+// While a crowd holds all that a front leaves for its clients, ordinary requests
+// are answered.
+func TestOrdinaryRequestsFindRoomBesideCrowds(t *testing.T) {
+	test := startCrowdTest(t)
+	address := net.JoinHostPort(test.IP(crowdFront), fmt.Sprint(clientsPort))
+	for name, misbehave := range map[string]testcluster.Misbehaviour{
+		"small chunks":      testcluster.SmallChunks,
+		"announced lengths": testcluster.AnnouncedLength,
+		"tiny fields":       testcluster.TinyFields,
+		"silence":           testcluster.Silence,
+	} {
+		stop := testcluster.Repeat(2, func(int) { testcluster.Crowd(address, crowdClients, misbehave) })
+		t.Log("beside", name)
+		test.awaitOrdinaryRequests()
+		stop()
+	}
+	if usage, ok := test.Usage(crowdFront); !ok || usage.PeakMemoryMb > crowdMemoryMb {
+		t.Errorf("the front took %.0f MB of %d", usage.PeakMemoryMb, crowdMemoryMb)
+	}
+}
