Attempts share the large parts of a request

What callers saw: nothing yet; a client's longest body on a gathered route was copied once for each shard, at 12 shards and 256 KiB 3 MiB a request, which no bound on the client's own bytes counts.

Cause: Request.encode made one buffer of head and body for each attempt, and NewRequest copied the body, which the connection had copied from its buffer.

Change: encode returns parts, and heads and bodies of more than 4 KiB are shared by all attempts; smaller ones still go out in one write. The body that a connection read has memory of its own, so NewRequest keeps it.

Evidence: by reading; TestNewRequest and TestOneResponsePerRequest hold.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -34,12 +34,12 @@
 	return &Conn{Conn: conn, in: reader{conn: conn}}, nil
 }
 
-// Exchange sends a request and reads its response into out, skipping interim
+// Exchange sends the parts of a request and reads its response into out, skipping interim
 // responses. isHead says that the request is a HEAD, whose response has no
 // body. sent reports whether any byte may have gone out. Once ctx is canceled
 // it fails, with the error of ctx. After an error the connection must be
 // closed, which is how HTTP/1.1 tells the peer to stop.
-func (c *Conn) Exchange(ctx context.Context, request []byte, deadline time.Time, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
+func (c *Conn) Exchange(ctx context.Context, request [][]byte, deadline time.Time, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
 	if c.HasUnsolicited() {
 		return false, ErrUnsolicited
 	}
@@ -60,10 +60,13 @@
 }
 
 // exchange is Exchange within the deadline that is set.
-func (c *Conn) exchange(request []byte, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
-	n, err := c.Write(request)
-	if err != nil {
-		return n > 0, err
+func (c *Conn) exchange(request [][]byte, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
+	for _, part := range request {
+		n, err := c.Write(part)
+		sent = sent || n > 0
+		if err != nil {
+			return sent, err
+		}
 	}
 	out.SkipBody = isHead
 	if err := c.readHeader(out); err != nil {
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -46,8 +46,13 @@
 // noDeadline is the DeadlineMs of a request without one.
 const noDeadline = -1
 
-// requestOverhead is the capacity reserved for what encode adds to a request.
-const requestOverhead = 96
+const (
+	// requestOverhead is the capacity reserved for what encode adds to a request.
+	requestOverhead = 96
+	// maxCopiedBytes is the size of the largest head or body that each attempt
+	// has a copy of, to send all in one write.
+	maxCopiedBytes = 4 << 10
+)
 
 // NewFetchRequest returns an internal request for an object. etag, where it is
 // not empty, asks for the object only if that version is no longer current.
@@ -108,15 +113,33 @@
 func (r *Request) HasBody() bool { return len(r.body) > 0 }
 
 // encode returns the request as the instance gets it, with the time that
-// remains until the deadline.
-func (r *Request) encode(instanceID string, remaining time.Duration) []byte {
-	b := make([]byte, 0, len(r.head)+len(r.body)+requestOverhead)
-	b = append(b, r.head...)
+// remains until the deadline, in parts. Large parts are shared by all attempts.
+func (r *Request) encode(instanceID string, remaining time.Duration) [][]byte {
+	b := make([]byte, 0, r.copiedBytes()+requestOverhead)
+	var parts [][]byte
+	if len(r.head) <= maxCopiedBytes {
+		b = append(b, r.head...)
+	} else {
+		parts = append(parts, r.head)
+	}
 	b = append(b, HeaderDeadline...)
 	b = append(b, ": "...)
 	b = strconv.AppendInt(b, remaining.Milliseconds(), 10)
 	b = append(b, "\r\n"+HeaderExpectedInstance+": "...)
 	b = append(b, instanceID...)
 	b = append(b, "\r\n\r\n"...)
-	return append(b, r.body...)
+	if len(r.body) <= maxCopiedBytes {
+		return append(parts, append(b, r.body...))
+	}
+	return append(parts, b, r.body)
+}
+
+// copiedBytes is how much of the request each attempt has a copy of.
+func (r *Request) copiedBytes() (size int) {
+	for _, part := range [][]byte{r.head, r.body} {
+		if len(part) <= maxCopiedBytes {
+			size += len(part)
+		}
+	}
+	return size
 }
--- a/internal/upstream/request_parser.go
+++ b/internal/upstream/request_parser.go
@@ -20,13 +20,14 @@
 const typicalHeaders = 16
 
 // NewRequest parses the header lines of a client's request strictly, and keeps
-// those that go on to endpoints. Its body, with any chunks decoded, is copied.
+// those that go on to endpoints. body, with any chunks decoded, is kept and must
+// not change.
 // The error is ErrMalformed or ErrSmuggling.
 func NewRequest(method, target string, rawHeaders, body []byte) (*Request, error) {
 	if !isToken([]byte(method)) || method == "" || !isTarget(target) {
 		return nil, ErrMalformed
 	}
-	request := &Request{Method: method, Target: target, DeadlineMs: noDeadline, body: bytes.Clone(body)}
+	request := &Request{Method: method, Target: target, DeadlineMs: noDeadline, body: body}
 	parser := requestParser{request: request, connectionOptions: map[string]bool{}}
 	headers := make([]headerLine, 0, typicalHeaders)
 	for len(rawHeaders) > 0 {
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"testing"
 	"time"
 )
@@ -16,7 +17,7 @@
 	}
 	want := "POST /a%2Fb/../c?q=1 HTTP/1.1\r\nHost: a.example\r\nSwiftswitch-Request-Id: r1\r\nX-Own: 1\r\nX-Own: 2\r\nContent-Length: 4\r\n" +
 		"Swiftswitch-Deadline-Milliseconds: 99\r\nSwiftswitch-Expected-Instance: i-1\r\n\r\nbody"
-	if got := string(r.encode("i-1", 99*time.Millisecond)); got != want {
+	if got := string(bytes.Join(r.encode("i-1", 99*time.Millisecond), nil)); got != want {
 		t.Fatalf("encoded as\n%q, want\n%q", got, want)
 	}
 }
@@ -66,7 +67,7 @@
 	if !ok || relayed.ID != "r1" || relayed.Host != "a.example" || relayed.Method != "GET" || relayed.Target != "/a?q=1" {
 		t.Fatalf("parsed as %+v, %v", relayed, ok)
 	}
-	if got, want := string(relayed.encode("i-1", time.Second)), string(original.encode("i-1", time.Second)); got != want {
+	if got, want := string(bytes.Join(relayed.encode("i-1", time.Second), nil)), string(bytes.Join(original.encode("i-1", time.Second), nil)); got != want {
 		t.Fatalf("encoded as\n%q, want\n%q", got, want)
 	}
 	for _, head := range []string{"", "GET /a\r\n", "GET /a HTTP/1.1\r\nHost: a\r\n", "GET /a HTTP/1.1\r\n" + requestHeaders + "X"} {
