Responses take memory of the budget before they are read

Cause: a large response was held three times: in the buffer of the connection to the searcher, which kept it for the next response, in hertz's pooled body, and as a copy for the client. Nothing bounded how many were read from searchers or waited for their clients.

Change: a body of more than 4 KiB is read into memory of its own, in chunks or not, taken of the budget for the client's connection before it is read, and handed to the client as it is. Where there is no room it waits, until the attempt's deadline, while clients are ended that have taken nothing of their answer for a quarter of HeaderTimeoutMs; if all who hold a part wait, one goes on. What is taken is given back once the response is written or the connection ends. An attempt that found no room is no failure of its searcher.

--- a/internal/cachenode/fetch.go
+++ b/internal/cachenode/fetch.go
@@ -103,7 +103,7 @@
 		Target:     fetch.Target,
 		Service:    fetch.Service,
 		Tenant:     fetch.Tenant,
-		Body:       append([]byte(nil), attempt.Response.Body()...),
+		Body:       attempt.Body(),
 		Stamp:      attempt.Stamp,
 		FetchedAt:  fetch.StartedAt,
 		KnownPurge: fetch.KnownPurge,
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -42,7 +42,7 @@
 		}
 	})
 	// The attempt's memory is released before the response is written.
-	out.SetBodyRaw(append([]byte(nil), attempt.Response.Body()...))
+	out.SetBodyRaw(attempt.Body())
 	if isRetryable(out.StatusCode()) && len(out.Header.Peek("Retry-After")) == 0 {
 		h.setRetryAfterWait(e, h.usualLatency(e))
 	}
--- a/internal/scatter/gatherer.go
+++ b/internal/scatter/gatherer.go
@@ -45,7 +45,8 @@
 // is there. Their responses are released.
 func (g *Gatherer) Gather(caller Caller, q *Query, request *upstream.Request, deadlines Deadlines, relay Relay) (succeeded bool) {
 	request.Idempotent = q.policy.Idempotent
-	ctx, cancel := context.WithCancel(context.Background())
+	// The values of the caller's context alone: it is canceled by run.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(caller.Context()))
 	r := &run{
 		Gatherer: g, caller: caller, request: request, deadlines: deadlines, relay: relay,
 		ctx: ctx, cancel: cancel,
--- a/internal/transport/budget_test.go
+++ b/internal/transport/budget_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// Responses that all hold a part and want more don't wait for each other.
+func TestResponsesDoNotWaitForEachOther(t *testing.T) {
+	budget := NewBudget(ResourceLimits{BufferBytes: 400, Connections: 100}, nil)
+	tracker := budget.NewTracker()
+	done := make(chan error, 3)
+	for range 3 {
+		c := newHolder(t, tracker, stateHandling, 0)
+		if err := budget.takeResponse(c, 100, soon()); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			err := budget.takeResponse(c, 100, later())
+			budget.remove(c)
+			done <- err
+		}()
+	}
+	for range 3 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Whatever ends a request, all that it took is given back.
 func TestBudgetIsGivenBack(t *testing.T) {
 	body := strings.Repeat("b", 900)
--- a/internal/transport/budget_wait.go
+++ b/internal/transport/budget_wait.go
@@ -25,6 +25,18 @@
 	return b.await(&waiter{conn: c, bytes: bytes}, deadline)
 }
 
+// takeResponse takes more bytes for the response to the request that a
+// connection's caller waits for, waiting for room until the deadline.
+func (b *Budget) takeResponse(c *serverConn, bytes int, deadline time.Time) error {
+	b.mu.Lock()
+	awaited := c.state == stateHandling && !c.removed
+	b.mu.Unlock()
+	if !awaited {
+		return nil
+	}
+	return b.await(&waiter{conn: c, bytes: bytes, isResponse: true}, deadline)
+}
+
 // await takes what a waiter waits for, or returns why it can't.
 func (b *Budget) await(w *waiter, deadline time.Time) error {
 	b.mu.Lock()
--- a/internal/transport/caller.go
+++ b/internal/transport/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 )
 
 // Caller is the other end of an accepted connection, which waits for responses
@@ -53,6 +54,16 @@
 	return c.ctx
 }
 
+// takeResponse takes bytes of the budget for a part of the response to the
+// caller's present request, and waits for room until the deadline. They are given
+// back once the response is written, or its connection has ended.
+func (c *Caller) takeResponse(bytes int, deadline time.Time) error {
+	if c == nil || c.conn == nil {
+		return nil
+	}
+	return c.conn.tracker.budget.takeResponse(c.conn, bytes, deadline)
+}
+
 // Left looks whether the caller has left, without blocking. It takes a system
 // call. What a caller sent before it left does not hide that it did.
 func (c *Caller) Left() bool {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -34,8 +34,9 @@
 	return &Conn{Conn: conn, in: reader{conn: conn}}, nil
 }
 
-// Exchange sends the parts of a request and reads its response into out, skipping interim
-// responses. isHead says that the request is a HEAD, whose response has no
+// Exchange sends the parts of a request and reads its response into out, skipping
+// interim responses. A large body of a response counts as taken by the caller of
+// ctx, if it has one. isHead says that the request is a HEAD, whose response has no
 // body. sent reports whether any byte may have gone out. Once ctx is canceled
 // it fails, with the error of ctx. After an error the connection must be
 // closed, which is how HTTP/1.1 tells the peer to stop.
@@ -50,7 +51,7 @@
 		return false, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
-	sent, err = c.exchange(request, isHead, maxBodyBytes, out)
+	sent, err = c.exchange(request, isHead, out, func() error { return c.readBody(CallerFrom(ctx), deadline, maxBodyBytes, out) })
 	if !stop() {
 		// The deadline may still be about to change: the connection must not
 		// be used again, even if the response is whole.
@@ -59,8 +60,9 @@
 	return sent, err
 }
 
-// exchange is Exchange within the deadline that is set.
-func (c *Conn) exchange(request [][]byte, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
+// exchange is Exchange within the deadline that is set. readBody reads the body
+// behind the head that is in out.
+func (c *Conn) exchange(request [][]byte, isHead bool, out *protocol.Response, readBody func() error) (sent bool, err error) {
 	for _, part := range request {
 		n, err := c.Write(part)
 		sent = sent || n > 0
@@ -78,7 +80,7 @@
 	if !isHead && out.Header.ContentLength() == contentUntilClose && !out.Header.MustSkipContentLength() {
 		return true, ErrNoBodyLength
 	}
-	if err := resp.ReadRespBody(out, &c.in, maxBodyBytes); err != nil {
+	if err := readBody(); err != nil {
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
@@ -87,6 +89,69 @@
 	return true, nil
 }
 
+// pooledBodyBytes is the size of the largest body in memory that is reused once
+// its response is released. A larger one has memory of its own.
+const pooledBodyBytes = 4 << 10
+
+// KeepBody returns the body of a response of Exchange, valid after the response
+// is released.
+func KeepBody(response *protocol.Response) []byte {
+	body := response.Body()
+	if len(body) > pooledBodyBytes {
+		return body
+	}
+	return append([]byte(nil), body...)
+}
+
+// chunkedLength is hertz's content length of a body in chunks.
+const chunkedLength = -1
+
+// readBody reads the body of a response. The memory for a large one is taken of
+// the budget for the caller, if there is one, before it is read.
+func (c *Conn) readBody(caller *Caller, deadline time.Time, maxBytes int, out *protocol.Response) error {
+	defer c.in.shrink()
+	length := out.Header.ContentLength()
+	switch {
+	case out.MustSkipBody():
+		return nil
+	case length == chunkedLength:
+		return c.readChunks(caller, deadline, maxBytes, out)
+	case length <= pooledBodyBytes || length > maxBytes:
+		return resp.ReadRespBody(out, &c.in, maxBytes)
+	}
+	if err := caller.takeResponse(length, deadline); err != nil {
+		return err
+	}
+	body := make([]byte, length)
+	if err := c.in.readFull(body); err != nil {
+		return err
+	}
+	out.SetBodyRaw(body)
+	return nil
+}
+
+// readChunks reads a body in chunks.
+func (c *Conn) readChunks(caller *Caller, deadline time.Time, maxBytes int, out *protocol.Response) error {
+	reserved := 0
+	chunks := chunkReader{
+		source: &c.in,
+		reserve: func(size int) error {
+			more := size - reserved
+			reserved = size
+			return caller.takeResponse(more, deadline)
+		},
+		trustsSizes:     true,
+		maxBytes:        maxBytes,
+		maxTrailerBytes: maxResponseHeaderBytes,
+	}
+	if err := chunks.read(); err != nil {
+		return err
+	}
+	out.SetBodyRaw(chunks.body)
+	out.Header.SetContentLength(len(chunks.body))
+	return nil
+}
+
 // maxResponseHeaderBytes bounds the head of a response.
 const maxResponseHeaderBytes = 128 << 10
 
--- a/internal/transport/reader.go
+++ b/internal/transport/reader.go
@@ -1,9 +1,18 @@
 package transport
 
-import "net"
+import (
+	"bytes"
+	"io"
+	"net"
+)
 
-// minBufferBytes is the size of a connection's first buffer.
-const minBufferBytes = 2048
+const (
+	// minBufferBytes is the size of a connection's first buffer.
+	minBufferBytes = 2048
+	// maxKeptBufferBytes is the size of the largest buffer that is kept between
+	// two responses.
+	maxKeptBufferBytes = 8 << 10
+)
 
 // reader is a growing read buffer over a connection. It implements
 // network.Reader, from which hertz parses.
@@ -43,6 +52,54 @@
 	return nil
 }
 
+// readFull consumes as many bytes as p holds, without a copy in the buffer of
+// those that were not read yet.
+func (r *reader) readFull(p []byte) error {
+	n := copy(p, r.buf[r.start:r.end])
+	r.start += n
+	_, err := io.ReadFull(r.conn, p[n:])
+	return err
+}
+
+// readLine implements chunkSource.
+func (r *reader) readLine(maxBytes int) ([]byte, error) {
+	for scanned := 0; ; {
+		unread := r.buf[r.start:r.end]
+		if i := bytes.IndexByte(unread[scanned:], '\n'); i >= 0 {
+			size := scanned + i + 1
+			if size > maxBytes {
+				return nil, errLineTooLong
+			}
+			r.start += size
+			return unread[:size], nil
+		}
+		scanned = len(unread)
+		if scanned >= maxBytes {
+			return nil, errLineTooLong
+		}
+		if err := r.fill(scanned + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// readInto implements chunkSource.
+func (r *reader) readInto(p []byte) (int, error) {
+	if r.start < r.end {
+		n := copy(p, r.buf[r.start:r.end])
+		r.start += n
+		return n, nil
+	}
+	return r.conn.Read(p)
+}
+
+// shrink drops a buffer that a large response made grow.
+func (r *reader) shrink() {
+	if r.start == r.end && len(r.buf) > maxKeptBufferBytes {
+		r.buf, r.start, r.end = nil, 0, 0
+	}
+}
+
 // Peek implements network.Reader.
 func (r *reader) Peek(n int) ([]byte, error) {
 	if r.Len() < n {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -89,6 +89,11 @@
 	return a.RelayedBody
 }
 
+// Body returns the response's body for use after Release.
+func (a *Attempt) Body() []byte {
+	return transport.KeepBody(a.Response)
+}
+
 // Succeeded reports whether the request was answered with success and a stamp.
 func (a Attempt) Succeeded() bool {
 	return a.Outcome == OutcomeAnswered && a.Status >= 200 && a.Status < 300 && a.Stamp != ""
@@ -152,7 +157,7 @@
 		return Attempt{Outcome: OutcomeUnsent, Err: errEndpointLeft}
 	}
 	if !request.Idempotent {
-		ctx = context.Background()
+		ctx = context.WithoutCancel(ctx)
 	}
 	response := protocol.AcquireResponse()
 	began := time.Now()
@@ -206,6 +211,9 @@
 		return Attempt{Outcome: OutcomeCanceled, Err: err}
 	case !sent:
 		return Attempt{Outcome: OutcomeUnsent, Err: err}
+	case errors.Is(err, transport.ErrNoRoom):
+		// The shortage is this node's own.
+		return Attempt{Outcome: OutcomeCanceled, Err: err}
 	}
 	events.Log(events.ResponseMalformed, "searcher", e.ID, "err", err)
 	return Attempt{Outcome: OutcomeUnknown, Err: err}
