--- a/internal/node/tenant_process_test.go
+++ b/internal/node/tenant_process_test.go
@@ -28,8 +28,11 @@
 type processSoak struct {
 	*testcluster.Processes
 	operator *testcluster.TenantOperator
-	judge    *testcluster.TenantJudge
+	// judge is nil where no keys are judged.
+	judge *testcluster.TenantJudge
 
+	// fronts is how many fronts there are.
+	fronts int
 	// overlapping: several control nodes may have trouble at once.
 	overlapping bool
 
@@ -50,6 +53,7 @@
 	}
 	s := &processSoak{
 		Processes:   testcluster.NewProcesses(t, c),
+		fronts:      *tenantFronts,
 		overlapping: revocationMs > 0,
 		busy:        map[int]bool{},
 		troubles:    map[string]int{},
@@ -174,7 +178,7 @@
 // that clients use. Several run at once.
 func (s *processSoak) makeTroubles(draw *rand.Rand, end time.Time) {
 	for time.Now().Before(end) {
-		n := firstFront + draw.IntN(processClients)*(*tenantFronts)/processClients
+		n := firstFront + draw.IntN(processClients)*s.fronts/processClients
 		if draw.IntN(4) == 0 {
 			n = 1 + draw.IntN(3)
 		}
@@ -196,7 +200,9 @@
 		s.Reload(n, 1+n%3, 1+(n+1)%3)
 		return fmt.Sprint(role, " reloaded")
 	}
-	defer s.judge.Trouble(judged)()
+	if s.judge != nil {
+		defer s.judge.Trouble(judged)()
+	}
 	switch kind {
 	case 1:
 		s.End(n, syscall.SIGKILL)
--- a/internal/testcluster/keyed_client.go
+++ b/internal/testcluster/keyed_client.go
@@ -23,6 +23,8 @@
 	// Status is that of the answer, 0 if there was none.
 	Status int
 	Body   []byte
+	// Truncated: the connection ended before the whole body was there.
+	Truncated bool
 	// Reused: an earlier request had gone over the connection.
 	Reused bool
 }
@@ -90,6 +92,7 @@
 	}
 	r.Body, err = io.ReadAll(response.Body)
 	_ = response.Body.Close()
+	r.Truncated = err != nil
 	r.Status, r.EndedAt = response.StatusCode, time.Now()
 	isLast := response.Close || strings.EqualFold(response.Header.Get("Connection"), "close")
 	if err != nil || isLast && !k.Stubborn {
