Messages count with their copies, and one configuration is parsed at a time

What callers saw: 300 callers that put configurations as long as a message may be made a control node take 134 MB of 64.

Cause: the budget counted the body of a call alone. Handling holds two more copies of it, and the parsed form takes many times its text for a moment, for each call at once.

Change: listeners for nodes and operators take the copies of a body too, and a control node parses one change of the configuration at a time.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -159,7 +159,7 @@
 // changeConfiguration has a change decided and returns its version once enough
 // disks hold it.
 func (s *Server) changeConfiguration(change configurationChange, deadline time.Time) (version int64, err error) {
-	value, patch, err := change.parse()
+	value, patch, err := s.parseChange(change)
 	if err != nil {
 		return 0, err
 	}
@@ -174,6 +174,14 @@
 	return value.Version, nil
 }
 
+// parseChange is configurationChange.parse, of one change at a time: what is
+// parsed takes many times the memory of its text for a moment.
+func (s *Server) parseChange(change configurationChange) (*consensus.Value, *config.Patch, error) {
+	s.parsing.Lock()
+	defer s.parsing.Unlock()
+	return change.parse()
+}
+
 // decideConfiguration proposes a configuration until it is applied, whoever had
 // it chosen, or can't be any more. A patch is merged into the version that it
 // builds on, once: a version has one body, whichever ballot chooses it.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,9 @@
 	rollouts *rolloutController
 	orders   *orderRetirer
 
+	// parsing is held while a change of the configuration is parsed.
+	parsing sync.Mutex
+
 	// ordersInFlight counts the operators' changes that this node works on;
 	// closing: it takes no more of them, since it drains.
 	ordersInFlight atomic.Int64
--- a/internal/front/client_listener.go
+++ b/internal/front/client_listener.go
@@ -38,6 +38,7 @@
 	options := l.host.ServerOptions(l.defaultLimits.IdleTimeout)
 	options.Tracker = l.connections
 	options.Limits = l.limits
+	options.BodyCopies = 0 // attempts share the body
 	go func() {
 		ln, err := transport.Listen(l.host.Settings().ListenAddresses.FrontAddress, l.host.TCPUserTimeout(), l.host.Heartbeats(listenRetryHeartbeats), l.host.Stopping)
 		if err != nil {
--- a/internal/host/bounds.go
+++ b/internal/host/bounds.go
@@ -25,6 +25,9 @@
 	// message may take one part in messageMemoryParts of the memory.
 	defaultMemoryMb    = 256
 	messageMemoryParts = 32
+	// messageCopies is how many copies of a message its decoding and its handling
+	// hold.
+	messageCopies = 2
 	// retryAfterHeartbeats is when a caller may come back that found no room.
 	retryAfterHeartbeats = 0.02
 )
@@ -129,6 +132,7 @@
 			IdleTimeout: idleTimeout,
 		},
 		TCPUserTimeout: h.TCPUserTimeout(),
+		BodyCopies:     messageCopies,
 		RetryAfter:     h.Heartbeats(retryAfterHeartbeats),
 		Budget:         h.Budget,
 	}
--- a/internal/node/crowd_process_test.go
+++ b/internal/node/crowd_process_test.go
@@ -229,3 +229,9 @@
 		t.Errorf("the front took %.0f MB of %d", usage.PeakMemoryMb, crowdMemoryMb)
 	}
 }
+
+// Callers that put configurations as long as a message may be, none of which
+// builds on the version in force, take no more than the limits either.
+func TestControlNodeOutlivesLargeConfigurations(t *testing.T) {
+	startCrowdTest(t).outlive(1, controlPort, testcluster.LargeConfigurations)
+}
--- a/internal/testcluster/crowd.go
+++ b/internal/testcluster/crowd.go
@@ -184,3 +184,19 @@
 
 // Silence sends nothing.
 func Silence(net.Conn) {}
+
+// LargeConfigurations puts configurations as long as a message may be, which
+// build on a version that there never was.
+func LargeConfigurations(conn net.Conn) {
+	const size = 1900 << 10
+	var body strings.Builder
+	body.WriteString(`{"Version":9,"Routes":[`)
+	for i := 0; body.Len() < size; i++ {
+		if i > 0 {
+			body.WriteString(",")
+		}
+		fmt.Fprintf(&body, `{"Name":"r%d","HostName":"h%d.example","PathPrefix":"/%d/","RouteKind":"safe","TimeoutMs":100,"Service":"s","Attempts":2}`, i, i, i)
+	}
+	body.WriteString(`],"Services":[{"Name":"s","HealthPath":"/health","ConnectionLimit":60}],"Limits":` + PageLimits + `}`)
+	write(conn, head("PUT", "/-/configuration", fmt.Sprintf("If-Match: 8\r\nContent-Length: %d\r\n", body.Len()))+"\r\n", body.String())
+}
--- a/internal/transport/request_body.go
+++ b/internal/transport/request_body.go
@@ -11,7 +11,7 @@
 // readBody reads the body of the present request, whose head was consumed.
 func (r *requestReader) readBody(framing requestFraming) error {
 	if framing.length > 0 {
-		if err := r.charge(&r.charges.body, int(framing.length)); err != nil {
+		if err := r.chargeBody(int(framing.length)); err != nil {
 			return err
 		}
 	}
@@ -38,11 +38,16 @@
 	return nil
 }
 
+// chargeBody takes bytes for a body of a size, and for the copies of it.
+func (r *requestReader) chargeBody(size int) error {
+	return r.charge(&r.charges.body, size*(1+r.conn.options.BodyCopies))
+}
+
 // readChunks reads a body in chunks. The trailers may take as much as a head.
 func (r *requestReader) readChunks() error {
 	chunks := chunkReader{
 		source:          r,
-		reserve:         func(size int) error { return r.charge(&r.charges.body, size) },
+		reserve:         r.chargeBody,
 		maxBytes:        r.limits.BodyBytes,
 		maxTrailerBytes: r.limits.HeaderBytes,
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -27,6 +27,9 @@
 	// TCPUserTimeout is after how long without an acknowledgement a connection
 	// is broken.
 	TCPUserTimeout time.Duration
+	// BodyCopies is how many times the memory of a request's body its handling
+	// takes besides.
+	BodyCopies int
 	// RetryAfter is when a caller may come back that found no room.
 	RetryAfter time.Duration
 	// Limits, where set, is called for each request in place of RequestLimits.
