--- a/internal/transport/chunks.go
+++ b/internal/transport/chunks.go
@@ -137,6 +137,26 @@
 	return nil
 }
 
+// nextLine returns the first line of what is unread, with its end. Where that is
+// not there yet, readMore reads more behind so many bytes.
+func nextLine(maxBytes int, unread func() []byte, readMore func(unread int) error) ([]byte, error) {
+	for scanned := 0; ; {
+		b := unread()
+		if i := bytes.IndexByte(b[scanned:], '\n'); i >= 0 {
+			if size := scanned + i + 1; size <= maxBytes {
+				return b[:size], nil
+			}
+			return nil, errLineTooLong
+		}
+		if scanned = len(b); scanned >= maxBytes {
+			return nil, errLineTooLong
+		}
+		if err := readMore(scanned); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // tooLongMeans returns what it means that a line was too long, or another error
 // as it is.
 func tooLongMeans(meaning, err error) error {
--- a/internal/transport/listener_test.go
+++ b/internal/transport/listener_test.go
@@ -104,17 +104,27 @@
 		_, err := io.ReadAtLeast(conn, make([]byte, 512), len("HTTP/1.1 200"))
 		return err
 	}
+	// rests waits until only the first connection has a request under way.
+	rests := func() {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); tracker.Active() > 1; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("an answered connection does not rest")
+			}
+		}
+	}
 	waiting := open("/wait")
 	<-busy
 	oldest := open("/")
 	if err := answered(oldest); err != nil {
 		t.Fatal(err)
 	}
+	rests()
 	newer := open("/")
 	if err := answered(newer); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(20 * time.Millisecond) // both rest
+	rests()
 	tracker.EndIdle(1)
 	if _, err := oldest.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the connection that rested for longest: %v", err)
--- a/internal/transport/reader.go
+++ b/internal/transport/reader.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bytes"
 	"io"
 	"net"
 )
@@ -63,26 +62,13 @@
 
 // readLine implements chunkSource.
 func (r *reader) readLine(maxBytes int) ([]byte, error) {
-	for scanned := 0; ; {
-		unread := r.buf[r.start:r.end]
-		if i := bytes.IndexByte(unread[scanned:], '\n'); i >= 0 {
-			size := scanned + i + 1
-			if size > maxBytes {
-				return nil, errLineTooLong
-			}
-			r.start += size
-			return unread[:size], nil
-		}
-		scanned = len(unread)
-		if scanned >= maxBytes {
-			return nil, errLineTooLong
-		}
-		if err := r.fill(scanned + 1); err != nil {
-			return nil, err
-		}
-	}
+	line, err := nextLine(maxBytes, r.unread, func(unread int) error { return r.fill(unread + 1) })
+	r.start += len(line)
+	return line, err
 }
 
+func (r *reader) unread() []byte { return r.buf[r.start:r.end] }
+
 // readInto implements chunkSource.
 func (r *reader) readInto(p []byte) (int, error) {
 	if r.start < r.end {
--- a/internal/transport/request_body.go
+++ b/internal/transport/request_body.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bytes"
 	"errors"
 	"time"
 )
@@ -66,26 +65,13 @@
 
 // readLine implements chunkSource.
 func (r *requestReader) readLine(maxBytes int) ([]byte, error) {
-	for scanned := 0; ; {
-		unread := r.buf[r.start:r.end]
-		if i := bytes.IndexByte(unread[scanned:], '\n'); i >= 0 {
-			size := scanned + i + 1
-			if size > maxBytes {
-				return nil, errLineTooLong
-			}
-			r.start += size
-			return unread[:size], nil
-		}
-		scanned = len(unread)
-		if scanned >= maxBytes {
-			return nil, errLineTooLong
-		}
-		if err := r.readMore(maxBytes); err != nil {
-			return nil, err
-		}
-	}
+	line, err := nextLine(maxBytes, r.unread, func(int) error { return r.readMore(maxBytes) })
+	r.start += len(line)
+	return line, err
 }
 
+func (r *requestReader) unread() []byte { return r.buf[r.start:r.end] }
+
 // readInto implements chunkSource.
 func (r *requestReader) readInto(p []byte) (int, error) {
 	if r.start < r.end {
--- a/internal/transport/request_framing.go
+++ b/internal/transport/request_framing.go
@@ -137,14 +137,9 @@
 // cutField splits a header line. found is false where it is none.
 func cutField(line []byte) (name, value []byte, found bool) {
 	name, value, found = bytes.Cut(line, []byte(":"))
-	if !found || len(name) == 0 {
+	if !found || len(name) == 0 || !IsToken(name) {
 		return nil, nil, false
 	}
-	for _, c := range name {
-		if !isTokenByte(c) {
-			return nil, nil, false
-		}
-	}
 	return name, bytes.Trim(value, " \t\r"), true
 }
 
@@ -158,4 +153,15 @@
 
 func isTokenByte(c byte) bool { return tokenBytes[c] }
 
+// IsToken reports whether b holds only the characters of a token (RFC 9110,
+// section 5.6.2).
+func IsToken(b []byte) bool {
+	for _, c := range b {
+		if !isTokenByte(c) {
+			return false
+		}
+	}
+	return true
+}
+
 func trimReturn(line []byte) []byte { return bytes.TrimSuffix(line, []byte("\r")) }
--- a/internal/upstream/request_parser.go
+++ b/internal/upstream/request_parser.go
@@ -6,6 +6,8 @@
 	"math"
 	"strconv"
 	"strings"
+
+	"swiftswitch/internal/transport"
 )
 
 // Errors of a request that must not reach an endpoint.
@@ -24,7 +26,7 @@
 // not change.
 // The error is ErrMalformed or ErrSmuggling.
 func NewRequest(method, target string, rawHeaders, body []byte) (*Request, error) {
-	if !isToken([]byte(method)) || method == "" || !isTarget(target) {
+	if !transport.IsToken([]byte(method)) || method == "" || !isTarget(target) {
 		return nil, ErrMalformed
 	}
 	request := &Request{Method: method, Target: target, DeadlineMs: noDeadline, body: body}
@@ -68,7 +70,7 @@
 // parseLine parses a header line that is not empty.
 func (p *requestParser) parseLine(line []byte) (headerLine, error) {
 	colon := bytes.IndexByte(line, ':')
-	if colon <= 0 || !isToken(line[:colon]) || bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
+	if colon <= 0 || !transport.IsToken(line[:colon]) || bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
 		return headerLine{}, ErrMalformed
 	}
 	name, value := line[:colon], bytes.Trim(line[colon+1:], " \t")
@@ -189,17 +191,6 @@
 	return bytes.TrimSuffix(line, []byte{'\r'}), rest
 }
 
-// isToken reports whether b holds only the characters of a token (RFC 9110,
-// section 5.6.2).
-func isToken(b []byte) bool {
-	for _, c := range b {
-		if c <= ' ' || c >= 0x7f || strings.IndexByte("()<>@,;:\\\"/[]?={}", c) >= 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // isTarget reports whether a request target holds no blanks or control characters.
 func isTarget(target string) bool {
 	for _, c := range []byte(target) {
