Requests leave room for responses in the budget

What callers would see: nobody is answered until the attempts' deadlines, where large bodies fill the budget and all of their requests wait for room to read their responses.

Cause: requests and responses shared the bytes, and a request holds its own until it was answered.

Change: requests leave a quarter of the bytes for responses. Nothing is looked at any more where nobody waits.

--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -144,7 +144,7 @@
 	c.responseBytes = bytes
 	b.charge(c, more)
 	if more > 0 {
-		b.evictForBytes(c, 0, evictForMemoryInUse)
+		b.evictForBytes(c, func(*usage) int { return 0 }, evictForMemoryInUse)
 	} else {
 		b.grantWaiting()
 	}
@@ -164,16 +164,13 @@
 	b.grantWaiting()
 }
 
-func (b *Budget) hasBytes(c *serverConn, n int) bool {
-	return b.total.hasBytes(n) && c.tracker.usage.hasBytes(n)
-}
-
-// evictForBytes evicts connections until there will be room for more bytes of
-// another, or no more can be evicted. The caller holds b.mu.
-func (b *Budget) evictForBytes(other *serverConn, bytes int, policy evictionPolicy) {
+// evictForBytes evicts connections until there will be as many bytes free as
+// another needs, or no more can be evicted. The caller holds b.mu.
+func (b *Budget) evictForBytes(other *serverConn, needs func(u *usage) int, policy evictionPolicy) {
+	share := &other.tracker.usage
 	for {
-		shareIsShort := !other.tracker.usage.willHaveBytes(bytes)
-		if !shareIsShort && b.total.willHaveBytes(bytes) {
+		shareIsShort := !share.willHaveBytes(needs(share))
+		if !shareIsShort && b.total.willHaveBytes(needs(&b.total)) {
 			return
 		}
 		if !b.evictOne(other, shareIsShort, policy) {
--- a/internal/transport/budget_wait.go
+++ b/internal/transport/budget_wait.go
@@ -11,6 +11,18 @@
 	granted    chan struct{}
 }
 
+// keptForResponses is the part of the bytes that requests leave for responses:
+// requests that hold all would wait for room for their own responses.
+const keptForResponses = 4
+
+// needs returns how many bytes must be free for a waiter.
+func (w *waiter) needs(u *usage) int {
+	if w.isResponse {
+		return w.bytes
+	}
+	return w.bytes + u.limits.BufferBytes/keptForResponses
+}
+
 // policy returns which connections make room for a waiter.
 func (w *waiter) policy() evictionPolicy {
 	if w.isResponse {
@@ -44,7 +56,7 @@
 		b.mu.Unlock()
 		return errEvicted
 	}
-	if b.hasBytes(w.conn, w.bytes) {
+	if b.hasBytesFor(w) {
 		b.grant(w)
 		b.mu.Unlock()
 		return nil
@@ -66,6 +78,11 @@
 	return b.stopWaiting(w)
 }
 
+func (b *Budget) hasBytesFor(w *waiter) bool {
+	share := &w.conn.tracker.usage
+	return b.total.hasBytes(w.needs(&b.total)) && share.hasBytes(w.needs(share))
+}
+
 // grant gives a waiter its bytes. The caller holds b.mu.
 func (b *Budget) grant(w *waiter) {
 	if w.isResponse {
@@ -94,10 +111,13 @@
 // grantWaiting gives the waiting what there is room for: responses first, whose
 // requests give back what they hold with them, and the newest first.
 func (b *Budget) grantWaiting() {
+	if len(b.waiting) == 0 {
+		return
+	}
 	for _, isResponse := range []bool{true, false} {
 		for i := len(b.waiting) - 1; i >= 0; i-- {
 			w := b.waiting[i]
-			if w.isResponse != isResponse || w.conn.evicted || !b.hasBytes(w.conn, w.bytes) {
+			if w.isResponse != isResponse || w.conn.evicted || !b.hasBytesFor(w) {
 				continue
 			}
 			b.grantAt(i)
@@ -142,7 +162,7 @@
 // makeRoom evicts connections until there will be room for a waiter, and sees to
 // it that more are looked for later if there is none yet. The caller holds b.mu.
 func (b *Budget) makeRoom(w *waiter) {
-	b.evictForBytes(w.conn, w.bytes, w.policy())
+	b.evictForBytes(w.conn, w.needs, w.policy())
 	b.logShortage()
 	if !b.evicting {
 		b.evicting = true
--- a/internal/transport/eviction.go
+++ b/internal/transport/eviction.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// evictOne ends the connection that has been without progress for longest in one
-// of the states, to make room for another one, and reports whether there is one. sameListener
+// evictOne ends the connection that has been in one of the states for longest, or
+// longest without progress in it, to make room for another one, and reports whether there is one. sameListener
 // says that room is wanted in the share of the other's listener. The caller
 // holds b.mu.
 func (b *Budget) evictOne(other *serverConn, sameListener bool, policy evictionPolicy) bool {
@@ -120,9 +120,9 @@
 	}
 }
 
-// isOverTime reports whether the reading of a request or the writing of a response
-// has been without progress for longer than ordinary callers need. The caller
-// holds the budget's lock.
+// isOverTime reports whether the reading of a request, or the writing of a response
+// without progress, lasts longer than ordinary callers need. The caller holds the
+// budget's lock.
 func (c *serverConn) isOverTime() bool {
 	if c.state != stateReading && c.state != stateWriting {
 		return true
