--- a/internal/node/crowd_process_test.go
+++ b/internal/crowd/crowd_test.go
@@ -1,4 +1,6 @@
-package node_test
+// Package crowd_test has small processes meet callers that misbehave. Its tests
+// measure memory: they run one at a time, and .ci/tests runs no others beside them.
+package crowd_test
 
 import (
 	"fmt"
@@ -28,6 +30,7 @@
 	clientsPort   = 8080
 	readinessPort = 8081
 	controlPort   = 8090
+	metricsPort   = 8095
 )
 
 // crowdTest is a cluster of processes whose small front, or small control node,
@@ -43,7 +46,9 @@
 	c := testcluster.New(t)
 	c.MemoryMb, c.FileDescriptors, c.MetricsPort = crowdMemoryMb, crowdDescriptors, metricsPort
 	test := &crowdTest{t: t, endpoints: map[string]*testcluster.Endpoint{}}
-	addEndpoints(c, test.endpoints, "s1-a", "plain-a")
+	for service, id := range map[string]string{"s1": "s1-a", "plain": "plain-a"} {
+		test.endpoints[id] = c.AddEndpoint(service, id)
+	}
 	test.Processes = testcluster.NewProcesses(t, c)
 	test.StartProcess(1, true, 1)
 	test.StartProcess(crowdFront, true, 1)
--- a/internal/node/crowd_soak_test.go
+++ b/internal/node/crowd_soak_test.go
@@ -28,11 +28,24 @@
 	// there are at once.
 	soakCrowdClients = 60
 	soakCrowds       = 2
-	soakMemoryMb     = 96
+	// soakMemoryMb and soakDescriptors are the Limits of each process,
+	// reservedDescriptors of them are kept for files.
+	soakMemoryMb        = 96
+	soakDescriptors     = 700
+	reservedDescriptors = 200
+	// usageInterval is how often the processes are looked at.
+	usageInterval = 20 * time.Millisecond
 	// soakBodyBytes is the longest body of an ordinary client.
 	soakBodyBytes = 60 << 10
 )
 
+// Ports of the listeners of a node, beside testcluster.Cluster.Port for nodes.
+const (
+	clientsPort   = 8080
+	readinessPort = 8081
+	controlPort   = 8090
+)
+
 // narrowLimits are allowed to all ordinary clients of the soak, like PageLimits.
 const narrowLimits = `{"HeaderSizeBytes":8192,"BodySizeBytes":131072,"HeaderTimeoutMs":2000,"IdleTimeoutMs":5000}`
 
@@ -88,7 +101,7 @@
 	t.Helper()
 	c := testcluster.New(t)
 	c.TimeScale, c.LastFront = *crowdScale, firstFront+*crowdFronts-1
-	c.MemoryMb, c.FileDescriptors = soakMemoryMb, crowdDescriptors
+	c.MemoryMb, c.FileDescriptors = soakMemoryMb, soakDescriptors
 	addEndpoints(c, map[string]*testcluster.Endpoint{}, "s1-a", "plain-a", "plain-b")
 	s := &crowdSoak{processSoak: &processSoak{
 		Processes: testcluster.NewProcesses(t, c),
@@ -230,7 +243,7 @@
 // check checks what the processes took, and what became of the requests.
 func (s *crowdSoak) check() {
 	t := s.T
-	if s.peakMemoryMb > soakMemoryMb || s.peakDescriptors > crowdDescriptors-descriptorsKept {
+	if s.peakMemoryMb > soakMemoryMb || s.peakDescriptors > soakDescriptors-reservedDescriptors {
 		t.Errorf("a process took %.0f MB and %d descriptors", s.peakMemoryMb, s.peakDescriptors)
 	}
 	s.awaitFronts("serves after the crowds")
