--- a/internal/node/crowd_soak_test.go
+++ b/internal/node/crowd_soak_test.go
@@ -215,7 +215,7 @@
 			before := s.isBusy(n)
 			usage, ok := s.Usage(n)
 			if !ok && !before && !s.isBusy(n) {
-				s.T.Errorf("the process of node %d ended by itself", n)
+				s.T.Errorf("the process of node %d ended by itself:\n%s", n, s.LastLog(n))
 				return
 			}
 			s.peakMemoryMb = max(s.peakMemoryMb, usage.PeakMemoryMb)
--- a/internal/testcluster/endpoint.go
+++ b/internal/testcluster/endpoint.go
@@ -104,7 +104,10 @@
 
 // ServeHTTP answers as the mode says.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the request was cut off on its way, and is not processed
+	}
 	if expected := r.Header.Get("Swiftswitch-Expected-Instance"); expected != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/testcluster/processes.go
+++ b/internal/testcluster/processes.go
@@ -31,13 +31,19 @@
 	dir    string
 
 	mu      sync.Mutex
-	running map[int]*exec.Cmd
+	running map[int]*process
+}
+
+// process is a node's process. exited is closed once it has ended.
+type process struct {
+	*exec.Cmd
+	exited chan struct{}
 }
 
 // NewProcesses builds the program. The processes end with the test.
 func NewProcesses(t *testing.T, c *Cluster) *Processes {
 	t.Helper()
-	p := &Processes{Cluster: c, dir: t.TempDir(), running: map[int]*exec.Cmd{}}
+	p := &Processes{Cluster: c, dir: t.TempDir(), running: map[int]*process{}}
 	p.binary = filepath.Join(p.dir, "swiftswitch")
 	if out, err := exec.Command("go", "build", "-tags=stdjson", "-o", p.binary, binaryDir).CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -47,7 +53,7 @@
 		defer p.mu.Unlock()
 		for _, command := range p.running {
 			_ = command.Process.Kill()
-			_ = command.Wait()
+			<-command.exited
 		}
 	})
 	return p
@@ -58,14 +64,32 @@
 	return filepath.Join(p.dir, fmt.Sprintf("%d.yaml", n))
 }
 
-// writeSettings writes the settings file of node n. JSON is YAML, too.
+// logPath is the log of node n, of all its runs.
+func (p *Processes) logPath(n int) string {
+	return filepath.Join(p.dir, fmt.Sprintf("%d.log", n))
+}
+
+// LastLog returns the end of the log of node n.
+func (p *Processes) LastLog(n int) string {
+	const lastBytes = 4 << 10
+	raw, _ := os.ReadFile(p.logPath(n))
+	return string(raw[max(0, len(raw)-lastBytes):])
+}
+
+// writeSettings replaces the settings file of node n at once, since its process
+// may just be starting. JSON is YAML, too.
 func (p *Processes) writeSettings(n int, firstStart bool, seeds []int) {
 	raw, err := protojson.Marshal(p.Settings(n, firstStart, seeds...))
 	if err != nil {
 		p.T.Error(err)
 		return
 	}
-	if err := os.WriteFile(p.settingsPath(n), raw, 0o600); err != nil {
+	written := p.settingsPath(n) + ".new"
+	if err := os.WriteFile(written, raw, 0o600); err != nil {
+		p.T.Error(err)
+		return
+	}
+	if err := os.Rename(written, p.settingsPath(n)); err != nil {
 		p.T.Error(err)
 	}
 }
@@ -80,12 +104,24 @@
 		arguments = append(arguments, "--metrics-port", strconv.Itoa(p.MetricsPort))
 	}
 	command := exec.Command(p.binary, arguments...)
+	log, err := os.OpenFile(p.logPath(n), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.T.Errorf("the log of node %d: %v", n, err)
+		return
+	}
+	defer func() { _ = log.Close() }()
+	command.Stderr = log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		p.T.Errorf("node %d does not start: %v", n, err)
 		return
 	}
-	p.running[n] = command
+	started := &process{Cmd: command, exited: make(chan struct{})}
+	p.running[n] = started
+	go func() {
+		_ = command.Wait() // what ended it is for the test to know
+		close(started.exited)
+	}()
 }
 
 // Count returns how many processes run.
@@ -117,21 +153,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	command := p.running[n]
-	if command == nil {
+	if command == nil || command.hasExited() {
 		return Usage{}, false
 	}
+	// A process that has just started may not show all of it yet.
 	proc := filepath.Join("/proc", strconv.Itoa(command.Process.Pid))
-	status, err := os.ReadFile(filepath.Join(proc, "status"))
-	if err != nil {
-		return Usage{}, false
-	}
-	_, peak, found := strings.Cut(string(status), "VmHWM:")
+	status, _ := os.ReadFile(filepath.Join(proc, "status"))
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
 	var kilobytes float64
-	if _, err := fmt.Sscan(peak, &kilobytes); !found || err != nil {
-		return Usage{}, false // a zombie has no memory
+	_, _ = fmt.Sscan(peak, &kilobytes)
+	descriptors, _ := os.ReadDir(filepath.Join(proc, "fd"))
+	return Usage{PeakMemoryMb: kilobytes / 1024, Descriptors: len(descriptors)}, true
+}
+
+func (p *process) hasExited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
 	}
-	descriptors, err := os.ReadDir(filepath.Join(proc, "fd"))
-	return Usage{PeakMemoryMb: kilobytes / 1024, Descriptors: len(descriptors)}, err == nil
 }
 
 // Reload writes the settings of node n anew, with other seeds, and sends SIGHUP.
@@ -157,6 +198,6 @@
 		p.T.Errorf("node %d still runs after its grace", n)
 		_ = command.Process.Kill()
 	})
-	_ = command.Wait()
+	<-command.exited
 	late.Stop()
 }
