--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -240,3 +240,8 @@
 func TestControlNodeOutlivesLargeConfigurations(t *testing.T) {
 	startCrowdTest(t).outlive(1, controlPort, testcluster.LargeConfigurations)
 }
+
+// Callers that leave metrics unread take no more than the limits either.
+func TestFrontOutlivesUnreadMetrics(t *testing.T) {
+	startCrowdTest(t).outlive(crowdFront, metricsPort, testcluster.UnreadMetrics)
+}
--- a/internal/testcluster/crowd.go
+++ b/internal/testcluster/crowd.go
@@ -188,9 +188,16 @@
 // LargeConfigurations puts configurations as long as a message may be, which
 // build on a version that there never was.
 func LargeConfigurations(conn net.Conn) {
+	body := LargeConfiguration(9)
+	write(conn, head("PUT", "/-/configuration", fmt.Sprintf("If-Match: 8\r\nContent-Length: %d\r\n", len(body)))+"\r\n", body)
+}
+
+// LargeConfiguration is a configuration nearly as long as a message may be where
+// MemoryMb is 64.
+func LargeConfiguration(version int) string {
 	const size = 1900 << 10
 	var body strings.Builder
-	body.WriteString(`{"Version":9,"Routes":[`)
+	fmt.Fprintf(&body, `{"Version":%d,"Routes":[`, version)
 	for i := 0; body.Len() < size; i++ {
 		if i > 0 {
 			body.WriteString(",")
@@ -198,5 +205,15 @@
 		fmt.Fprintf(&body, `{"Name":"r%d","HostName":"h%d.example","PathPrefix":"/%d/","RouteKind":"safe","TimeoutMs":100,"Service":"s","Attempts":2}`, i, i, i)
 	}
 	body.WriteString(`],"Services":[{"Name":"s","HealthPath":"/health","ConnectionLimit":60}],"Limits":` + PageLimits + `}`)
-	write(conn, head("PUT", "/-/configuration", fmt.Sprintf("If-Match: 8\r\nContent-Length: %d\r\n", body.Len()))+"\r\n", body.String())
+	return body.String()
+}
+
+// UnreadMetrics asks for the metrics many times and reads no answer.
+func UnreadMetrics(conn net.Conn) {
+	const requests = 200
+	for range requests {
+		if !write(conn, head("GET", "/metrics", "")+"\r\n") {
+			return
+		}
+	}
 }
