--- a/internal/node/crowd_soak_test.go
+++ b/internal/node/crowd_soak_test.go
@@ -212,9 +212,8 @@
 func (s *crowdSoak) watchUsage(end time.Time) {
 	for time.Now().Before(end) {
 		for _, n := range s.nodes() {
-			before := s.isBusy(n)
-			usage, ok := s.Usage(n)
-			if !ok && !before && !s.isBusy(n) {
+			usage, _ := s.Usage(n)
+			if s.EndedByItself(n) {
 				s.T.Errorf("the process of node %d ended by itself:\n%s", n, s.LastLog(n))
 				return
 			}
@@ -233,13 +232,6 @@
 	return nodes
 }
 
-// isBusy reports whether node n has trouble.
-func (s *processSoak) isBusy(n int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.busy[n]
-}
-
 // check checks what the processes took, and what became of the requests.
 func (s *crowdSoak) check() {
 	t := s.T
--- a/internal/testcluster/processes.go
+++ b/internal/testcluster/processes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -34,10 +35,14 @@
 	running map[int]*process
 }
 
-// process is a node's process. exited is closed once it has ended.
+// process is a node's process. exited is closed once it has ended, and failure
+// says how.
 type process struct {
 	*exec.Cmd
-	exited chan struct{}
+	exited  chan struct{}
+	failure error
+	// logStart is how long the node's log was when the process started.
+	logStart int64
 }
 
 // NewProcesses builds the program. The processes end with the test.
@@ -69,11 +74,27 @@
 	return filepath.Join(p.dir, fmt.Sprintf("%d.log", n))
 }
 
-// LastLog returns the end of the log of node n.
+// EndedByItself reports whether the process of node n has ended though End was
+// not called for it.
+func (p *Processes) EndedByItself(n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	command := p.running[n]
+	return command != nil && command.hasExited()
+}
+
+// LastLog returns the end of the log of node n, and how its process ended if
+// nobody ended it.
 func (p *Processes) LastLog(n int) string {
 	const lastBytes = 4 << 10
 	raw, _ := os.ReadFile(p.logPath(n))
-	return string(raw[max(0, len(raw)-lastBytes):])
+	log := string(raw[max(0, len(raw)-lastBytes):])
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if command := p.running[n]; command != nil && command.hasExited() {
+		log += fmt.Sprint("ended: ", command.failure)
+	}
+	return log
 }
 
 // writeSettings replaces the settings file of node n at once, since its process
@@ -110,16 +131,17 @@
 		return
 	}
 	defer func() { _ = log.Close() }()
+	logStart, _ := log.Seek(0, io.SeekEnd)
 	command.Stderr = log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		p.T.Errorf("node %d does not start: %v", n, err)
 		return
 	}
-	started := &process{Cmd: command, exited: make(chan struct{})}
+	started := &process{Cmd: command, exited: make(chan struct{}), logStart: logStart}
 	p.running[n] = started
 	go func() {
-		_ = command.Wait() // what ended it is for the test to know
+		started.failure = command.Wait()
 		close(started.exited)
 	}()
 }
@@ -175,8 +197,22 @@
 	}
 }
 
+// awaitStarted waits until the process of node n has logged something: before, it
+// may not catch signals yet, and SIGHUP would end it.
+func (p *Processes) awaitStarted(n int) {
+	p.mu.Lock()
+	command := p.running[n]
+	p.mu.Unlock()
+	for end := time.Now().Add(eventuallyTimeout); command != nil && time.Now().Before(end); time.Sleep(eventuallyInterval) {
+		if info, err := os.Stat(p.logPath(n)); err == nil && info.Size() > command.logStart {
+			return
+		}
+	}
+}
+
 // Reload writes the settings of node n anew, with other seeds, and sends SIGHUP.
 func (p *Processes) Reload(n int, seeds ...int) {
+	p.awaitStarted(n)
 	p.mu.Lock()
 	p.writeSettings(n, false, seeds)
 	p.mu.Unlock()
