A connection that is not admitted is not counted down

What callers saw: nothing yet. Where no connection could be ended to make room, the new one was closed, and closing it gave back a connection that it had never taken, so the bound drifted upwards by one each time.

Cause: admit returned before it counted, and Close calls remove all the same.

Change: such a connection counts as removed.

Evidence: TestRefusedConnectionIsNotCounted, red before with 2 connections counted of 3.

--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -189,6 +189,7 @@
 	for !share.willHaveConnection() || !b.total.willHaveConnection() {
 		b.logShortage()
 		if !b.evictOne(c, !share.willHaveConnection(), evictForConnection) {
+			c.removed = true // it took nothing
 			return false
 		}
 	}
--- a/internal/transport/budget_test.go
+++ b/internal/transport/budget_test.go
@@ -255,3 +255,22 @@
 		t.Errorf("%+v is taken", usage)
 	}
 }
+
+// A connection that is not admitted takes nothing, and gives nothing back.
+func TestRefusedConnectionIsNotCounted(t *testing.T) {
+	budget := NewBudget(ResourceLimits{BufferBytes: 400, Connections: 4}, nil)
+	tracker := budget.NewTracker()
+	for range 3 {
+		newHolder(t, tracker, stateHandling, 0)
+	}
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	refused := newServerConn(near, tracker, &ServerOptions{}, &hangupWatcher{})
+	if budget.admit(refused) {
+		t.Fatal("admitted beyond the share of the listener")
+	}
+	_ = refused.Close()
+	if n := budget.Usage().Connections; n != 3 {
+		t.Errorf("%d connections are counted, want 3", n)
+	}
+}
