Route kinds upload and download are taken

The kinds are taken now, upload as a kind that runs at most once, download as one that may run again; one table says so for validation and for routing, and a kind that neither knows never runs twice.

--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -17,8 +17,25 @@
 	RouteKindUnsafe = "unsafe"
 	// RouteKindCached: like safe, and responses may be cached.
 	RouteKindCached = "cached"
+	// RouteKindUpload: like unsafe, and requests may have large bodies.
+	RouteKindUpload = "upload"
+	// RouteKindDownload: like safe, and responses may have large bodies.
+	RouteKindDownload = "download"
 )
 
+// isIdempotent says, for each route kind, whether a request may run more than once.
+var isIdempotent = map[string]bool{
+	RouteKindSafe:     true,
+	RouteKindCached:   true,
+	RouteKindDownload: true,
+	RouteKindUnsafe:   false,
+	RouteKindUpload:   false,
+}
+
+// IsIdempotent reports whether requests on the route may run more than once. A
+// kind that is not known allows it for none.
+func (r *Route) IsIdempotent() bool { return isIdempotent[r.RouteKind] }
+
 // DecodeConfiguration reads a configuration without validating it. It is for
 // bytes that ParseConfiguration accepted before, and for Delta.Changes.
 func DecodeConfiguration(raw []byte) (*Configuration, error) {
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -50,7 +50,7 @@
 	r := &Route{
 		Name:          c.Name,
 		Prefix:        c.PathPrefix,
-		Idempotent:    c.RouteKind != config.RouteKindUnsafe,
+		Idempotent:    c.IsIdempotent(),
 		Timeout:       config.Milliseconds(c.TimeoutMs, 1),
 		TargetLatency: config.Milliseconds(c.TargetLatencyMs, 1),
 		MaxAttempts:   max(1, int(min(c.Attempts, maxAttempts))),
--- a/internal/routing/route_test.go
+++ b/internal/routing/route_test.go
@@ -18,6 +18,9 @@
 		{"nothing set", &config.Route{RouteKind: config.RouteKindSafe, TimeoutMs: 50}, 50 * time.Millisecond, 1, true, false},
 		{"target above the timeout", &config.Route{RouteKind: config.RouteKindUnsafe, TimeoutMs: 50, TargetLatencyMs: 60, Attempts: 2}, 50 * time.Millisecond, 2, false, false},
 		{"target below it", &config.Route{RouteKind: config.RouteKindCached, TimeoutMs: 50, TargetLatencyMs: 20, Attempts: 3}, 20 * time.Millisecond, 3, true, true},
+		{"an upload", &config.Route{RouteKind: config.RouteKindUpload, TimeoutMs: 50}, 50 * time.Millisecond, 1, false, false},
+		{"a download", &config.Route{RouteKind: config.RouteKindDownload, TimeoutMs: 50}, 50 * time.Millisecond, 1, true, false},
+		{"a kind of a later version", &config.Route{RouteKind: "later", TimeoutMs: 50}, 50 * time.Millisecond, 1, false, false},
 		{"attempts beyond number", &config.Route{RouteKind: config.RouteKindSafe, TimeoutMs: 50, Attempts: 1 << 30}, 50 * time.Millisecond, maxAttempts, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
