Quotas of tenants hold over all fronts, by leased tokens

Callers of a tenant with RequestsPerS 20 and BurstSize 20 had thousands of requests run within a window that allows 49: the fields were read as unknown, the contract "quota" was only logged as unsupported. Cause: nothing kept a count of a tenant over all nodes.

A quota is a token bucket that the holder of the poller's fenced lease keeps (internal/quota, control.quotaController). Fronts hold a small stock that follows demand, report what is left ten times a window, and ask at once where a request finds none (front.quotaLimiter). Stock at fronts is part of the bucket: as many tokens fewer come in, so a window holds no more than the bucket at its start and what comes in. Stock that was not confirmed for two windows is void on both sides; a new holder counts as unknown what fronts may have until they have reported or that time is over; a front that starts again has none. Where no holder answers, requests that need a token get 503; beyond the quota 429. A further attempt that may run twice takes a token too.

--- a/internal/compat/golden_kinds_test.go
+++ b/internal/compat/golden_kinds_test.go
@@ -12,6 +12,7 @@
 	"swiftswitch/internal/node"
 	"swiftswitch/internal/nodeapi"
 	"swiftswitch/internal/peersampling"
+	"swiftswitch/internal/quota"
 	"swiftswitch/internal/records"
 	"swiftswitch/internal/relay"
 	"swiftswitch/internal/rollout"
@@ -66,6 +67,10 @@
 	"lease-renewal":        nodeapi.LeaseRenewal{},
 	"table-request":        nodeapi.TableRequest{},
 	"table-response":       nodeapi.TableResponse{},
+	"quota-report":         quota.Report{},
+	"quota-demand":         quota.Demand{},
+	"quota-answer":         quota.Answer{},
+	"quota-grant":          quota.Grant{},
 	"join-request":         nodeapi.JoinRequest{},
 	"join-response":        nodeapi.JoinResponse{},
 	"member-report":        membership.Report{},
--- a/internal/compat/names_test.go
+++ b/internal/compat/names_test.go
@@ -39,6 +39,7 @@
 	{nodeapi.PathLease, "/rope/bid"},
 	{nodeapi.PathTableFetch, "/rope/fetch"},
 	{nodeapi.PathUnreachable, "/rope/hearsay"},
+	{nodeapi.PathQuota, "/rope/quota"},
 	{nodeapi.PathRolloutReport, "/rope/tally"},
 	{nodeapi.PathRolloutTotals, "/rope/ledger"},
 	{nodeapi.PathStatus, "/rope/status"},
--- a/internal/config/tenant.go
+++ b/internal/config/tenant.go
@@ -29,7 +29,7 @@
 			return errors.New("a tenant has no Name")
 		case !IsTenantName(t.Name):
 			return fmt.Errorf("the Name of tenant %q can't be a header's value", t.Name)
-		case t.GetPriority() < 0:
+		case t.GetPriority() < 0, t.RequestsPerS < 0, t.BurstSize < 0:
 			return fmt.Errorf("tenant %q: a number is out of its range", t.Name)
 		}
 		for _, key := range t.ApiKeys {
--- a/internal/config/unsupported.go
+++ b/internal/config/unsupported.go
@@ -15,7 +15,7 @@
 // Settings.ActiveContracts, that this program keeps.
 var supportedContracts = []string{
 	"base", "drain", "config", "cost", "retry", "recover", "scatter",
-	"health", "pool", "cache", "rollout", "tenants",
+	"health", "pool", "cache", "rollout", "tenants", "quota",
 }
 
 // The only values of fields that choose between ways of working. Nothing else is
--- a/internal/control/internal_api.go
+++ b/internal/control/internal_api.go
@@ -46,6 +46,9 @@
 		nodeapi.PathFrontRoster: report(s.handleFrontRoster),
 		nodeapi.PathWatch:       handle(infallible(s.watch.handle)),
 
+		// Quotas of tenants.
+		nodeapi.PathQuota: handle(s.quotas.handleReport),
+
 		// Rollouts.
 		nodeapi.PathRolloutReport: notify(s, s.rollouts.onReport),
 		nodeapi.PathRolloutTotals: notify(s, s.rollouts.onTotals),
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -59,6 +59,8 @@
 	purges   *purgeController
 	rollouts *rolloutController
 	orders   *orderRetirer
+	// quotas grants fronts tokens of the tenants' quotas.
+	quotas *quotaController
 
 	// parsing is held while a change of the configuration is parsed.
 	parsing sync.Mutex
@@ -113,6 +115,7 @@
 	s.poller = newDiscoveryPoller(s)
 	s.rollouts = newRolloutController(s, stored.RolloutClock, n.Now())
 	s.orders = newOrderRetirer(s)
+	s.quotas = newQuotaController(s)
 	s.handlers = s.internalAPI()
 	s.onVotersRestored()
 	s.rollouts.apply()
@@ -133,6 +136,7 @@
 	go s.purges.run()
 	go s.rollouts.run()
 	go s.orders.run()
+	go s.quotas.run()
 }
 
 // onVotersRestored follows the voters of the state; see replicaOwner.
@@ -160,6 +164,7 @@
 // timeout to finish its writes.
 func (s *Server) Close(timeout time.Duration) {
 	s.store.Close(timeout)
+	s.quotas.loop.Close()
 	s.loop.Close()
 }
 
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -67,6 +67,8 @@
 	CacheNodes []string `json:"CacheNodes,omitempty"`
 	// Rollouts are the services' last orders, the one that changed last first.
 	Rollouts []RolloutStatus `json:"Rollouts,omitempty"`
+	// Quotas is the ledger of tenants' quotas, if this node kept one.
+	Quotas *QuotaStatus `json:"Quotas,omitempty"`
 }
 
 // neverHeard is MajorityAgeMs of a node that never heard a majority.
@@ -92,6 +94,7 @@
 		}
 	})
 	status.Rollouts = s.rollouts.statuses(s.State())
+	status.Quotas = s.quotas.status()
 	return status
 }
 
--- a/internal/front/construct.go
+++ b/internal/front/construct.go
@@ -100,6 +100,7 @@
 // buildRequestPath makes what a request passes through on its way to endpoints.
 func (s *Server) buildRequestPath(workers *ants.Pool) {
 	s.endpoints = newEndpointPool(s.host, s.options)
+	s.quotas = newQuotaLimiter(s.host, s.host.ControlIPs)
 	s.retryBudget = newRetryBudget(s.host, s.options)
 	gatherer := &scatter.Gatherer{
 		Upstream:    s.endpoints,
@@ -116,6 +117,7 @@
 		Clock:           s.majority.clock,
 		MajorityTimeout: s.host.MajorityTimeout(),
 		KeysConfirmed:   s.keys.isRecent,
+		Quotas:          s.quotas,
 		Metrics:         s.host.Metrics,
 	}, gatherer)
 	if s.options.Relay {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -41,6 +41,7 @@
 	watcher     *controlWatcher
 	cacheNodes  *cacheNodeRoster
 	unreachable *unreachableReporter
+	quotas      *quotaLimiter
 }
 
 // Start begins to watch the control nodes and to serve. It returns at once.
@@ -52,6 +53,7 @@
 	} else {
 		s.clients.start()
 		go s.serveReadiness()
+		go s.quotas.run()
 		if s.options.ShareUnreachable {
 			go s.unreachable.run()
 		}
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -44,6 +44,8 @@
 	// the services' rate limits.
 	Fetches    int64   `json:"Fetches"`
 	QuotaShare float64 `json:"QuotaShare"`
+	// Quotas is what the front has of the tenants' quotas.
+	Quotas *QuotaStatus `json:"Quotas,omitempty"`
 }
 
 // Status returns the state of all controllers.
@@ -63,6 +65,9 @@
 		status.CachedObjects, status.CachedBytes = s.fetcher.Usage()
 	}
 	status.QuotaShare, _ = s.QuotaShare()
+	if !s.isCacheNode {
+		status.Quotas = s.quotas.status()
+	}
 	s.loop.Call(func() {
 		status.Slot = s.progress.load().slot
 		s.layouts.addStatus(status)
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -37,6 +37,8 @@
 	// KeysConfirmed reports whether the keys in force are recent enough to
 	// accept any. Nil means always.
 	KeysConfirmed func() bool
+	// Quotas keeps tenants within their quotas. Nil means that there are none.
+	Quotas QuotaLimiter
 	// Metrics is where the handler's metrics are shown, if anywhere.
 	Metrics *metrics.Registry
 }
@@ -81,7 +83,7 @@
 		hasSnapshot:   make(chan struct{}),
 		cancelWaiting: make(chan struct{}),
 	}
-	h.filters = []filter{h.pinSnapshot, h.checkSize, h.parseRequest, h.matchRoute, h.authenticate, h.setDeadlines, h.forward}
+	h.filters = []filter{h.pinSnapshot, h.checkSize, h.parseRequest, h.matchRoute, h.authenticate, h.setDeadlines, h.checkQuota, h.forward}
 	return h
 }
 
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -22,6 +22,8 @@
 	rejectUnauthenticated
 	rejectKeysUnconfirmed
 	rejectNoTimeLeft
+	rejectOverQuota
+	rejectQuotaUnconfirmed
 	rejectOverloaded
 	rejectNoEndpoint
 	rejectTimedOut
@@ -32,8 +34,8 @@
 	rejectDraining
 )
 
-// rejections tell how each reason is answered. 503 promises that no endpoint
-// processed the request; 502 and 504 do not. A 503 carries Retry-After.
+// rejections tell how each reason is answered. 429 and 503 promise that no
+// endpoint processed the request, and carry Retry-After; 502 and 504 do not.
 var rejections = [...]struct {
 	// label names the reason in the metrics.
 	label   string
@@ -53,6 +55,8 @@
 	rejectUnauthenticated:    {label: "unauthenticated", status: http.StatusUnauthorized, message: "a valid key is needed"},
 	rejectKeysUnconfirmed:    {label: "keys_unconfirmed", status: http.StatusServiceUnavailable, message: "keys can't be checked now"},
 	rejectNoTimeLeft:         {label: "no_time_left", status: http.StatusServiceUnavailable, message: "no time left"},
+	rejectOverQuota:          {label: "over_quota", status: http.StatusTooManyRequests, message: "the tenant's quota is used up"},
+	rejectQuotaUnconfirmed:   {label: "quota_unconfirmed", status: http.StatusServiceUnavailable, message: "the tenant's quota can't be checked now"},
 	rejectOverloaded:         {label: "overloaded", status: http.StatusServiceUnavailable, message: "all searchers are busy"},
 	rejectNoEndpoint:         {label: "no_endpoint", status: http.StatusServiceUnavailable, message: "no searcher can take this now"},
 	rejectTimedOut:           {label: "timed_out", status: http.StatusGatewayTimeout, message: "no answer in time"},
@@ -111,6 +115,8 @@
 	switch {
 	case e.route == nil:
 		return h.options.RetryElsewhere
+	case reason == rejectOverQuota:
+		return max(e.expectedWait, h.options.RetryElsewhere)
 	case reason == rejectOverloaded:
 		return max(e.expectedWait, h.usualLatency(e))
 	case reason == rejectNoEndpoint:
--- a/internal/frontend/rejection_test.go
+++ b/internal/frontend/rejection_test.go
@@ -26,7 +26,7 @@
 				t.Error("the filter chain goes on")
 			}
 			hasRetryAfter := len(c.Response.Header.Peek("Retry-After")) > 0
-			if c.Response.StatusCode() != r.status || string(c.Response.Body()) != r.message+"\n" || hasRetryAfter != (r.status == 503) || e.closeConnection != r.closesConnection {
+			if c.Response.StatusCode() != r.status || string(c.Response.Body()) != r.message+"\n" || hasRetryAfter != (r.status == 503 || r.status == 429) || e.closeConnection != r.closesConnection {
 				t.Errorf("%d %q, Retry-After %v, closes %v", c.Response.StatusCode(), c.Response.Body(), hasRetryAfter, e.closeConnection)
 			}
 		})
--- a/internal/host/bounds.go
+++ b/internal/host/bounds.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"swiftswitch/internal/config"
+	"swiftswitch/internal/quota"
 	"swiftswitch/internal/rollout"
 	"swiftswitch/internal/transport"
 )
@@ -32,6 +33,9 @@
 	retryAfterHeartbeats = 0.02
 )
 
+// defaultQuotaWindow is assumed where the settings give no QuotaWindowS.
+const defaultQuotaWindow = 5 * time.Second
+
 // What callers may make a node take of its Limits.
 const (
 	// defaultFileDescriptors is assumed where the settings give no limit.
@@ -96,6 +100,16 @@
 	return rollout.Exposure{Share: bounds.ExposureShare, Slack: bounds.ExposureSlack}
 }
 
+// QuotaBounds say by how much the requests of a tenant may exceed its quota.
+func (h *Host) QuotaBounds() quota.Bounds {
+	bounds := h.Settings().Bounds
+	window := config.Seconds(bounds.QuotaWindowS, 1)
+	if window <= 0 {
+		window = defaultQuotaWindow
+	}
+	return quota.Bounds{Window: window, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}
+}
+
 // memoryBytes is the memory that the node may take.
 func (h *Host) memoryBytes() float64 {
 	memoryMb := h.Settings().Limits.MemoryMb
--- a/internal/node/tenant_process_test.go
+++ b/internal/node/tenant_process_test.go
@@ -99,11 +99,7 @@
 // runProcessSoak changes keys while processes get signals, for a time.
 func runProcessSoak(t *testing.T, revocationMs float64, duration time.Duration) {
 	t.Helper()
-	seed := *tenantSoakSeed
-	if seed == 0 {
-		seed = rand.Uint64()
-	}
-	t.Log("seed", seed)
+	seed := drawnSeed(t)
 	s := startProcessSoak(t, revocationMs)
 	soak := &tenantSoak{tenantTest: &tenantTest{Cluster: s.Cluster, operator: s.operator, judge: s.judge}}
 	t.Log(s.Count(), "processes")
--- a/internal/node/tenant_soak_test.go
+++ b/internal/node/tenant_soak_test.go
@@ -71,11 +71,7 @@
 // runTenantSoak changes keys and makes troubles of so many kinds for a time.
 func runTenantSoak(t *testing.T, kinds int, duration time.Duration, configure ...func(*testcluster.Cluster)) {
 	t.Helper()
-	seed := *tenantSoakSeed
-	if seed == 0 {
-		seed = rand.Uint64()
-	}
-	t.Log("seed", seed)
+	seed := drawnSeed(t)
 	logEvents(t, *tenantEvents)
 	soak := &tenantSoak{tenantTest: startStretchedTenantTest(t, *tenantScale, configure...), troubles: map[string]int{}, kinds: kinds}
 	end := time.Now().Add(duration)
--- a/internal/nodeapi/paths.go
+++ b/internal/nodeapi/paths.go
@@ -42,6 +42,10 @@
 	// PathUnreachable takes an UnreachableReport.
 	PathUnreachable = "/rope/hearsay"
 
+	// PathQuota takes a quota.Report and returns a quota.Answer. Fronts send it to
+	// the holder of the polling lease; another control node names the holder.
+	PathQuota = "/rope/quota"
+
 	// PathRolloutReport takes a RolloutReport.
 	PathRolloutReport = "/rope/tally"
 	// PathRolloutTotals takes RolloutTotals.
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -142,13 +142,22 @@
 		// It may have been the other front that failed, not the endpoint.
 		p = r.pick(s, nil, spareOnly)
 	}
-	if p.endpoint != nil && s.isRetry() && !r.RetryBudget.TryWithdraw(s.Service, r.Now()) {
+	if p.endpoint != nil && !r.mayRetry(s) {
 		r.Upstream.CancelPick(p.endpoint, p.start)
 		p.endpoint = nil
 	}
 	r.sendOrGiveUp(q, i, p, kind)
 }
 
+// mayRetry reports whether what bounds further attempts grants one to a shard.
+func (r *run) mayRetry(s *ShardRequest) bool {
+	if s.isRetry() && !r.RetryBudget.TryWithdraw(s.Service, r.Now()) {
+		return false
+	}
+	mayRunTwice := s.mayHaveRun || s.inFlight > 0
+	return !mayRunTwice || r.request.MayRunAgain == nil || r.request.MayRunAgain()
+}
+
 // sendOrGiveUp sends shard i to the endpoint of a pick, if there is one.
 func (r *run) sendOrGiveUp(q *Query, i int, p picked, kind attemptKind) {
 	if p.endpoint == nil {
--- a/internal/tenant/directory.go
+++ b/internal/tenant/directory.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"swiftswitch/internal/config"
+	"swiftswitch/internal/quota"
 )
 
 const (
@@ -33,6 +34,8 @@
 	// of the route's where HasPriority.
 	Priority    int
 	HasPriority bool
+	// Quota bounds its requests on all nodes together.
+	Quota quota.Limit
 }
 
 // Directory holds the tenants of one version of the configuration by their
@@ -148,12 +151,9 @@
 }
 
 func (b *builder) add(key string, source *config.Tenant) *entry {
-	e := &entry{source: source, tenant: &Tenant{Name: source.Name}, index: b.indexes}
+	e := &entry{source: source, tenant: newTenant(source), index: b.indexes}
 	b.indexes++
 	b.tenants++
-	if source.Priority != nil {
-		e.tenant.Priority, e.tenant.HasPriority = int(*source.Priority), true
-	}
 	b.entriesOf(key)[key] = e
 	for _, apiKey := range source.ApiKeys {
 		if apiKey == "" {
@@ -174,6 +174,18 @@
 	return e
 }
 
+// newTenant compiles one tenant of a configuration.
+func newTenant(source *config.Tenant) *Tenant {
+	t := &Tenant{
+		Name:  source.Name,
+		Quota: quota.Limit{RequestsPerS: source.RequestsPerS, BurstSize: source.BurstSize},
+	}
+	if source.Priority != nil {
+		t.Priority, t.HasPriority = int(*source.Priority), true
+	}
+	return t
+}
+
 func (b *builder) remove(key string, e *entry) {
 	b.tenants--
 	delete(b.entriesOf(key), key)
--- a/internal/testcluster/settings.go
+++ b/internal/testcluster/settings.go
@@ -24,6 +24,13 @@
 	controlPort   = 8090
 )
 
+// Bounds on quotas of the settings.
+const (
+	quotaWindow    = time.Second
+	quotaOvershoot = 0.1
+	quotaSlack     = 5
+)
+
 func isControlNode(n int) bool { return n <= maxControlNode }
 
 func (c *Cluster) isCacheNode(n int) bool { return n > cmp.Or(c.LastFront, maxFront) }
@@ -62,11 +69,11 @@
 	text := fmt.Sprintf(`{NodeName: "node-%d", IpAddress: %q, Zone: %s, Serves: [%s], InternalPortRange: [%d, %d], SeedNodes: [%s], FirstStart: %v, DataDirectory: %q, HeartbeatIntervalMs: %v, ToleratedLosses: {Machines: %d},
  Limits: {MemoryMb: %v, FileDescriptors: %d},
  ListenAddresses: {%s},
- Bounds: {InTouchMs: %v, AcknowledgeMs: %v, CatchUpS: %v, DrainMs: %v, GraceS: %v, ConfigEffectMs: %v, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100, ExposureShare: 0.3, ExposureSlack: 50, RollbackMs: %v, RevocationClosed: %v, RevocationMs: %v}, CloudApi: {Address: %q}}`,
+ Bounds: {InTouchMs: %v, AcknowledgeMs: %v, CatchUpS: %v, DrainMs: %v, GraceS: %v, ConfigEffectMs: %v, RetryBudgetRatio: 0.5, RetryWindowS: 2, RetryBudgetSlack: 100, ExposureShare: 0.3, ExposureSlack: 50, RollbackMs: %v, RevocationClosed: %v, RevocationMs: %v, QuotaWindowS: %v, QuotaOvershoot: %v, QuotaSlack: %v}, CloudApi: {Address: %q}}`,
 		n, c.IP(n), zone, serves, c.Port, c.Port+10, strings.Join(seedNodes, ","), firstStart, dataDir, 300*scale, c.ToleratedLosses,
 		c.MemoryMb, c.FileDescriptors, listen,
 		c.scaled(inTouchTime).Milliseconds(), 2500*scale, 1*scale, 800*scale, 1*scale, c.scaled(configurationEffect).Milliseconds(), 1500*scale,
-		c.RevocationMs > 0, c.RevocationMs*scale, c.platform.Listener.Addr())
+		c.RevocationMs > 0, c.RevocationMs*scale, c.QuotaWindow().Seconds(), quotaOvershoot, quotaSlack, c.platform.Listener.Addr())
 	settings, err := config.ParseSettings([]byte(text))
 	if err != nil {
 		c.T.Fatalf("settings: %v\n%s", err, text)
@@ -74,6 +81,9 @@
 	return settings
 }
 
+// QuotaWindow is QuotaWindowS of the settings.
+func (c *Cluster) QuotaWindow() time.Duration { return c.scaled(quotaWindow) }
+
 // revocation is after how long a removed key runs nowhere any more, 0 for no bound.
 func (c *Cluster) revocation() time.Duration {
 	return c.scaled(time.Duration(c.RevocationMs * float64(time.Millisecond)))
--- a/internal/testcluster/tenants.go
+++ b/internal/testcluster/tenants.go
@@ -21,6 +21,9 @@
 	Name     string
 	APIKeys  []string `json:"ApiKeys"`
 	Priority *int     `json:",omitempty"`
+	// RequestsPerS and BurstSize are its quota; 0 means none.
+	RequestsPerS float64 `json:",omitempty"`
+	BurstSize    float64 `json:",omitempty"`
 }
 
 // ConfigurationWithTenants is ConfigurationBody with tenants, and with a route
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -30,6 +30,9 @@
 	Route         string
 	TargetLatency time.Duration
 	Idempotent    bool
+	// MayRunAgain, where it is set, is asked before a further attempt is made
+	// while an earlier one may have run.
+	MayRunAgain func() bool
 
 	// internal is whether the request is the system's own. Responses to such
 	// requests don't repeat the ID.
