Extensions of chunks are ignored

Callers that frame their bodies with chunk extensions got 400: the decoder refused every byte behind a chunk's size. RFC 9112, section 7.1.1, has a recipient ignore extensions that it does not know. They are ignored now, in requests and in searchers' responses, within the bound on the line with the size; a line that ends without CRLF, or holds a carriage return or NUL, is refused as before, so no request is smuggled in one. The lines around chunks are read by one decoder (chunkDecoder).

--- a/internal/transport/chunks.go
+++ b/internal/transport/chunks.go
@@ -29,64 +29,78 @@
 	readInto(p []byte) (int, error)
 }
 
-// chunkReader reads a body in chunks. Extensions of chunks are errors, trailers
-// are dropped.
-type chunkReader struct {
+// chunkDecoder reads the lines around the data of chunks. Extensions of chunks are
+// ignored (RFC 9112, section 7.1.1), trailers are dropped.
+type chunkDecoder struct {
 	source chunkSource
-	// reserve takes memory for a body of a size, before it grows to that.
-	reserve func(size int) error
-	// trustsSizes: memory is reserved for a chunk once its size is announced,
-	// not as its data comes.
-	trustsSizes               bool
-	maxBytes, maxTrailerBytes int
-	body                      []byte
+	// maxBytes bounds the data of all chunks, maxTrailerBytes the trailers.
+	maxBytes        int64
+	maxTrailerBytes int
+	// total counts the data of the chunks so far, announced that of a chunk which
+	// was one too many for maxBytes.
+	total, announced int64
+	// begun: the end of a chunk comes before the next one. ended: the last one and
+	// the trailers were read.
+	begun, ended bool
 }
 
-// read reads all chunks and the trailers behind them.
-func (r *chunkReader) read() error {
-	for {
-		line, err := r.source.readLine(maxChunkLineBytes)
-		if err != nil {
-			return tooLongMeans(errMalformedChunks, err)
-		}
-		size, err := chunkSize(line)
-		if err != nil {
-			return err
-		}
-		if size == 0 {
-			return r.readTrailers()
-		}
-		if size > r.maxBytes-len(r.body) {
-			return errBodyTooLarge
-		}
-		if err := r.readData(size); err != nil {
-			return err
+// next reads up to the data of the next chunk and returns its size, 0 at the end
+// of the body. It fails with errBodyTooLarge where a chunk is too large; with a
+// greater maxBytes it may be called again then.
+func (d *chunkDecoder) next() (size int64, err error) {
+	if d.announced == 0 {
+		if d.announced, err = d.readSize(); err != nil {
+			return 0, err
 		}
-		end, err := r.source.readLine(len("\r\n"))
+	}
+	if d.announced == 0 {
+		d.ended = true
+		return 0, d.readTrailers()
+	}
+	if d.announced > d.maxBytes-d.total {
+		return 0, errBodyTooLarge
+	}
+	size, d.announced = d.announced, 0
+	d.total += size
+	return size, nil
+}
+
+// readSize reads the end of the chunk before, if there is one, and the line with
+// the size of the next.
+func (d *chunkDecoder) readSize() (int64, error) {
+	if d.begun {
+		end, err := d.source.readLine(len("\r\n"))
 		if err != nil || string(end) != "\r\n" {
-			return firstError(tooLongMeans(errMalformedChunks, err), errMalformedChunks)
+			return 0, firstError(tooLongMeans(errMalformedChunks, err), errMalformedChunks)
 		}
 	}
+	d.begun = true
+	line, err := d.source.readLine(maxChunkLineBytes)
+	if err != nil {
+		return 0, tooLongMeans(errMalformedChunks, err)
+	}
+	return chunkSize(line)
 }
 
 // chunkSize parses the line with the size of a chunk.
-func chunkSize(line []byte) (int, error) {
-	digits, found := bytes.CutSuffix(line, []byte("\r\n"))
-	digits = bytes.TrimRight(digits, " ")
-	if !found || len(digits) == 0 || len(digits) > maxChunkDigits {
+func chunkSize(line []byte) (int64, error) {
+	line, found := bytes.CutSuffix(line, []byte("\r\n"))
+	digits, extension, _ := bytes.Cut(line, []byte(";"))
+	digits = bytes.TrimRight(digits, " \t")
+	if !found || len(digits) == 0 || len(digits) > maxChunkDigits || bytes.ContainsAny(extension, "\r\x00") {
 		return 0, errMalformedChunks
 	}
 	size, err := strconv.ParseUint(string(digits), 16, 62)
 	if err != nil {
 		return 0, errMalformedChunks
 	}
-	return int(size), nil
+	return int64(size), nil
 }
 
 // readTrailers reads the trailers up to the empty line that ends them.
-func (r *chunkReader) readTrailers() error {
-	for left := r.maxTrailerBytes; ; {
-		line, err := r.source.readLine(left)
+func (d *chunkDecoder) readTrailers() error {
+	for left := d.maxTrailerBytes; ; {
+		line, err := d.source.readLine(left)
 		if err != nil {
 			return tooLongMeans(errTrailersTooLarge, err)
 		}
@@ -101,6 +115,30 @@
 	}
 }
 
+// chunkReader reads a whole body in chunks.
+type chunkReader struct {
+	chunkDecoder
+	// reserve takes memory for a body of a size, before it grows to that.
+	reserve func(size int) error
+	// trustsSizes: memory is reserved for a chunk once its size is announced,
+	// not as its data comes.
+	trustsSizes bool
+	body        []byte
+}
+
+// read reads all chunks and the trailers behind them.
+func (r *chunkReader) read() error {
+	for {
+		size, err := r.next()
+		if err != nil || size == 0 {
+			return err
+		}
+		if err := r.readData(int(size)); err != nil {
+			return err
+		}
+	}
+}
+
 // readData appends the data of a chunk to the body.
 func (r *chunkReader) readData(size int) error {
 	if r.trustsSizes && cap(r.body)-len(r.body) < size {
@@ -127,7 +165,7 @@
 
 // grow doubles the room for the body, at least to a size.
 func (r *chunkReader) grow(least int) error {
-	size := min(max(2*cap(r.body), least), r.maxBytes)
+	size := min(max(2*cap(r.body), least), int(r.maxBytes))
 	if err := r.reserve(size); err != nil {
 		return err
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -134,15 +134,13 @@
 func (c *Conn) readChunks(caller *Caller, deadline time.Time, maxBytes int, out *protocol.Response) error {
 	reserved := 0
 	chunks := chunkReader{
-		source: &c.in,
+		chunkDecoder: chunkDecoder{source: &c.in, maxBytes: int64(maxBytes), maxTrailerBytes: maxResponseHeaderBytes},
 		reserve: func(size int) error {
 			more := size - reserved
 			reserved = size
 			return caller.takeResponse(more, deadline)
 		},
-		trustsSizes:     true,
-		maxBytes:        maxBytes,
-		maxTrailerBytes: maxResponseHeaderBytes,
+		trustsSizes: true,
 	}
 	if err := chunks.read(); err != nil {
 		return err
--- a/internal/transport/request_body.go
+++ b/internal/transport/request_body.go
@@ -45,10 +45,8 @@
 // readChunks reads a body in chunks. The trailers may take as much as a head.
 func (r *requestReader) readChunks() error {
 	chunks := chunkReader{
-		source:          r,
-		reserve:         r.chargeBody,
-		maxBytes:        r.limits.BodyBytes,
-		maxTrailerBytes: r.limits.HeaderBytes,
+		chunkDecoder: chunkDecoder{source: r, maxBytes: int64(r.limits.BodyBytes), maxTrailerBytes: r.limits.HeaderBytes},
+		reserve:      r.chargeBody,
 	}
 	err := chunks.read()
 	r.body = chunks.body
