One empty line before a request is read over

Clients that send CRLF behind a body, as RFC 9112, section 2.2, mentions, got 400 for their next request: a head had to begin with a token. One empty line before a request is consumed now; where nothing follows it the connection rests again, within its idle time. A second one is refused as before, so lines without end hold nothing.

New cases of TestRequestsAreReadWithinLimits; they got 400 before.

--- a/internal/transport/server_reader.go
+++ b/internal/transport/server_reader.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"os"
@@ -75,6 +76,9 @@
 	if err := r.awaitRequest(); err != nil {
 		return err
 	}
+	if err := r.skipEmptyLine(); err != nil {
+		return err
+	}
 	size, err := r.readHead()
 	if err != nil {
 		return err
@@ -129,6 +133,38 @@
 	return r.conn.setReadDeadline(r.deadline)
 }
 
+// skipEmptyLine consumes one empty line before a request (RFC 9112, section 2.2).
+// Where nothing follows it, the connection rests again.
+func (r *requestReader) skipEmptyLine() error {
+	if r.end-r.start == 1 && r.buf[r.start] == '\r' {
+		if err := r.readMore(len(r.buf)); err != nil {
+			return err
+		}
+	}
+	line := emptyLineSize(r.buf[r.start:r.end])
+	if line == 0 {
+		return nil
+	}
+	r.start += line
+	if r.start < r.end {
+		return nil
+	}
+	r.conn.beginIdle()
+	return r.awaitRequest()
+}
+
+// emptyLineSize returns the size of the empty line that b begins with, 0 if it
+// begins with none.
+func emptyLineSize(b []byte) int {
+	switch {
+	case bytes.HasPrefix(b, []byte("\r\n")):
+		return len("\r\n")
+	case bytes.HasPrefix(b, newline):
+		return len(newline)
+	}
+	return 0
+}
+
 // read reads what there is into the buffer, which has room for it.
 func (r *requestReader) read() error {
 	if r.start == r.end {
