A head of many fields does not grow on its way

Heads of 1,000 short fields in 8 KB were reported to get 431. What was found is that each field without a blank behind its colon went on with one, so that a head of 8,000 bytes reached the searcher with 9,000, beyond a limit that it had kept. Fields go on as they were sent now, but for those of the system, which a front of an earlier version wants with the blank.

TestHeadOfManyFieldsDoesNotGrow; before, a head of 8,064 bytes went on with 9,064 (by the old formula, one byte a field).

--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -78,7 +78,8 @@
 	}
 	request = &Request{Method: requestLine[0], Target: requestLine[1], DeadlineMs: noDeadline, head: []byte(head)}
 	for _, line := range lines[1:] {
-		name, value, _ := strings.Cut(line, ": ")
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimPrefix(value, " ")
 		switch strings.ToLower(name) {
 		case lowerHost:
 			request.Host = value
--- a/internal/upstream/request_parser.go
+++ b/internal/upstream/request_parser.go
@@ -65,6 +65,8 @@
 type headerLine struct {
 	name, value []byte
 	lowerName   string
+	// spaced: a blank stands between the two.
+	spaced bool
 }
 
 // parseLine parses a header line that is not empty.
@@ -74,7 +76,7 @@
 		return headerLine{}, ErrMalformed
 	}
 	name, value := line[:colon], bytes.Trim(line[colon+1:], " \t")
-	header := headerLine{name: name, value: value, lowerName: strings.ToLower(string(name))}
+	header := headerLine{name: name, value: value, lowerName: strings.ToLower(string(name)), spaced: len(value) < len(line)-colon-1}
 	switch header.lowerName {
 	case lowerContentLength:
 		p.lengths++
@@ -145,14 +147,24 @@
 	return b
 }
 
-// appendTo appends the header line and its end.
+// appendTo appends the header line and its end as the client sent it: a head
+// of many fields that is within the limits stays so.
 func (h *headerLine) appendTo(b []byte) []byte {
 	b = append(b, h.name...)
-	b = append(b, ": "...)
+	b = append(b, ':')
+	if h.spaced || h.isSystem() {
+		b = append(b, ' ')
+	}
 	b = append(b, h.value...)
 	return append(b, "\r\n"...)
 }
 
+// isSystem reports whether a front of an earlier version, to which the request may
+// be relayed, looks for the field with a blank behind its colon.
+func (h *headerLine) isSystem() bool {
+	return h.lowerName == lowerHost || strings.HasPrefix(h.lowerName, lowerSystemPrefix)
+}
+
 // keyLines returns the header lines with the client's key, for
 // Request.ForwardKey. There are none if a Connection header takes them away.
 func (p *requestParser) keyLines(headers []headerLine) []byte {
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -76,3 +77,22 @@
 		}
 	}
 }
+
+// A head of many fields that is within the limits does not outgrow them on its way.
+func TestHeadOfManyFieldsDoesNotGrow(t *testing.T) {
+	lines := "Host: a.example\r\nSwiftswitch-Request-Id: r1\r\n"
+	for i := range 1000 {
+		lines += fmt.Sprintf("a%03x:1\r\n", i)
+	}
+	request, err := NewRequest("GET", "/x", []byte(lines), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if sent := len("GET /x HTTP/1.1\r\n") + len(lines); len(request.Head()) > sent {
+		t.Errorf("%d bytes go on of %d", len(request.Head()), sent)
+	}
+	relayed, ok := NewRelayedRequest(request.Head())
+	if !ok || relayed.Host != "a.example" || relayed.ID != "r1" {
+		t.Errorf("relayed as %q of %q", relayed.ID, relayed.Host)
+	}
+}
