Large bodies are passed on as they come

Callers whose bodies were inside the operator's BodySizeBytes (64 MiB) but over 1/32 of MemoryMb got 413, and downloads of that size 502: every body was in memory as a whole, and was bounded by what a message between nodes may take.

Bodies over 1/8 of a message (1/256 of MemoryMb) now go through a buffer of 32 KiB that the budget counts, in both directions (transport.RequestBody, ResponseBody): a slow client or searcher holds that much. A body that has begun to go out is never sent again; one that its client cuts short or doesn't send in its time ends the searcher's connection, so nobody processes it; a searcher that answers before it has read all is passed on and its connection closed. A response whose body has begun is not begun anew, and one that ends early does not look complete. A connection that ends with a part of a request unread discards for up to a second what still comes, so that its last answer arrives.

The race detector found that a request could end while its body was still read (TestClientThatStopsInALargeBody); Close waits for the reader now.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,6 +44,12 @@
 }
 
 func startCrowdTest(t *testing.T) *crowdTest {
+	t.Helper()
+	return startCrowdTestWithLimits(t, testcluster.PageLimits)
+}
+
+// startCrowdTestWithLimits is startCrowdTest with other limits of clients.
+func startCrowdTestWithLimits(t *testing.T, limits string) *crowdTest {
 	t.Helper()
 	c := testcluster.New(t)
 	c.MemoryMb, c.FileDescriptors, c.MetricsPort = crowdMemoryMb, crowdDescriptors, metricsPort
@@ -53,7 +61,7 @@
 	test.StartProcess(1, true, 1)
 	test.StartProcess(crowdFront, true, 1)
 	c.Eventually("the first configuration is acknowledged", func() bool {
-		status, _ := c.PutConfiguration(1, "PUT", "0", testcluster.ConfigurationWithLimits(3, testcluster.PageLimits, "s1"))
+		status, _ := c.PutConfiguration(1, "PUT", "0", testcluster.ConfigurationWithLimits(3, limits, "s1"))
 		return status == http.StatusOK
 	})
 	test.awaitOrdinaryRequests()
@@ -245,3 +253,32 @@
 func TestFrontOutlivesUnreadMetrics(t *testing.T) {
 	startCrowdTest(t).outlive(crowdFront, metricsPort, testcluster.UnreadMetrics)
 }
+
+// Bodies that are far greater than a message may be are served, several at once,
+// within the memory of the process; so are callers that stop in the middle of them.
+func TestFrontServesHugeBodies(t *testing.T) {
+	test := startCrowdTestWithLimits(t, testcluster.HugeLimits)
+	const clients, rounds = 6, 2
+	body := strings.Repeat("b", 12<<20)
+	for round := range rounds {
+		var asking sync.WaitGroup
+		for i := range clients {
+			asking.Go(func() {
+				if status := test.RequestStatus(crowdFront, "POST", "/u/x", body, fmt.Sprint("up", round, i)); status != http.StatusOK {
+					t.Errorf("an upload was answered %d", status)
+				}
+			})
+		}
+		asking.Wait()
+	}
+	test.endpoints["plain-a"].SetMode(testcluster.ModeHuge)
+	for range rounds {
+		response, answer, _ := test.Request(crowdFront, "GET", "/p/x", "")
+		if response.StatusCode != http.StatusOK || len(answer) != testcluster.HugeAnswerBytes {
+			t.Errorf("a download was answered %d with %d bytes", response.StatusCode, len(answer))
+		}
+	}
+	test.outlive(crowdFront, clientsPort, testcluster.UnreadResponses)
+	test.endpoints["plain-a"].SetMode(testcluster.ModeNormal)
+	test.outlive(crowdFront, clientsPort, testcluster.HugeBodyThatStops)
+}
--- a/internal/front/client_listener.go
+++ b/internal/front/client_listener.go
@@ -64,7 +64,8 @@
 	}
 	inForce := &snapshot.RouteTable.Limits
 	limits.HeaderBytes = min(limits.HeaderBytes, inForce.HeaderBytes)
-	limits.BodyBytes = min(limits.BodyBytes, inForce.BodyBytes)
+	limits.BodyBytes = inForce.BodyBytes
+	limits.BufferedBodyBytes = l.host.MaxBufferedBodyBytes()
 	limits.ReadTimeout, limits.IdleTimeout = inForce.HeaderTimeout, inForce.IdleTimeout
 	return limits
 }
--- a/internal/front/construct.go
+++ b/internal/front/construct.go
@@ -201,6 +201,7 @@
 		DialTimeout:         inTouch(dialTimeoutRatio),
 		IdleTimeout:         inTouch(upstreamIdleRatio),
 		MaxBodyBytes:        h.MaxMessageBytes(),
+		BufferedBodyBytes:   h.MaxBufferedBodyBytes(),
 		SettleTime:          inTouch(settleTimeRatio),
 		ConsecutiveFailures: consecutiveFailures,
 		BaseEjectionTime:    inTouch(baseEjectionRatio),
--- a/internal/frontend/filters.go
+++ b/internal/frontend/filters.go
@@ -53,6 +53,9 @@
 		return h.reject(e, rejectMalformed, "err", err)
 	}
 	e.request = request
+	if body := e.caller.RequestBody(); body != nil {
+		request.SetStreamedBody(body)
+	}
 	return true
 }
 
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -14,6 +14,7 @@
 		return h.serveCached(e)
 	}
 	policy, shards := h.plan(e)
+	e.request.StreamsResponse = len(e.route.Shards) == 0
 	if !h.canAnswerInTime(e, policy, shards) {
 		return h.reject(e, rejectOverloaded)
 	}
@@ -68,6 +69,8 @@
 		h.reject(e, rejectNoEndpoint)
 	case !time.Now().Before(e.deadlines.HardDeadline):
 		h.reject(e, rejectTimedOut)
+	case e.request.BodyBegun() && e.caller.RequestBody().CallerFailed():
+		h.reject(e, rejectBodyIncomplete)
 	default:
 		h.reject(e, rejectNoCompleteResponse)
 	}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -146,6 +146,10 @@
 
 // finish sets what ends the exchange on its connection.
 func (h *Handler) finish(e *exchange) {
+	if body := e.caller.RequestBody(); body != nil {
+		body.Close()
+		e.closeConnection = e.closeConnection || !body.Whole()
+	}
 	if e.closeConnection || h.draining.Load() || e.caller.Context().Err() != nil {
 		e.ctx.SetConnectionClose()
 	} else if e.snapshot != nil {
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -132,6 +132,12 @@
 	}
 }
 
+// testBufferedBytes bounds the bodies that a test front has in memory as a whole.
+const testBufferedBytes = 128 << 10
+
+// testBodyBytes bounds the bodies that a test front takes.
+const testBodyBytes = 1 << 25
+
 // newTestFront serves a route of each kind from endpoints that are attempted in
 // the order given. It returns the address for clients and the handler.
 func newTestFront(t *testing.T, endpointAddrs ...string) (addr string, h *Handler) {
@@ -149,7 +155,7 @@
 	if err != nil {
 		t.Fatal("no listener")
 	}
-	limits := transport.RequestLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 22, ReadTimeout: time.Second, IdleTimeout: time.Second}
+	limits := transport.RequestLimits{HeaderBytes: 1 << 14, BodyBytes: testBodyBytes, BufferedBodyBytes: testBufferedBytes, ReadTimeout: time.Second, IdleTimeout: time.Second}
 	server := transport.Serve(ln, transport.ServerOptions{RequestLimits: limits, TCPUserTimeout: time.Second}, h.Handle)
 	t.Cleanup(func() { _ = server.Close(); _ = ln.Close() })
 	return ln.Addr().String(), h
@@ -165,7 +171,7 @@
 	}
 	t.Cleanup(workers.Release)
 	pool := upstream.NewPool(upstream.Options{
-		Distance: func(zone string) int { return min(len(zone), 2) }, TCPUserTimeout: time.Second, DialTimeout: time.Second, MaxBodyBytes: 1 << 20,
+		Distance: func(zone string) int { return min(len(zone), 2) }, TCPUserTimeout: time.Second, DialTimeout: time.Second, MaxBodyBytes: 1 << 20, BufferedBodyBytes: testBufferedBytes,
 		IdleTimeout: time.Minute, ConsecutiveFailures: 3, BaseEjectionTime: time.Second, TwoChoicesThreshold: 5, DistancePenalty: 9, DecayTime: time.Second,
 	})
 	var list []endpoints.Endpoint
@@ -191,7 +197,7 @@
 		routes = append(routes, &config.Route{Name: kind, HostName: "a.example", PathPrefix: "/" + kind + "/", RouteKind: kind, TimeoutMs: float64(timeout.Milliseconds()), Service: "s", Attempts: 3, CacheLifetimeS: 60})
 	}
 	configuration := &config.Configuration{Version: 1, Services: []*config.Service{{Name: "s"}}, Routes: routes}
-	return &Snapshot{RouteTable: routing.Compile(configuration, routing.Limits{HeaderBytes: 1 << 14, BodyBytes: 1 << 22}, nil)}
+	return &Snapshot{RouteTable: routing.Compile(configuration, routing.Limits{HeaderBytes: 1 << 14, BodyBytes: testBodyBytes}, nil)}
 }
 
 // testResponse is a response as a client sees it.
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -17,6 +17,7 @@
 	rejectNoConfiguration rejection = iota
 	rejectHeadersTooLarge
 	rejectBodyTooLarge
+	rejectBodyIncomplete
 	rejectMalformed
 	rejectNoRoute
 	rejectUnauthenticated
@@ -50,6 +51,7 @@
 	rejectNoConfiguration:    {label: "no_configuration", status: http.StatusServiceUnavailable, message: "no configuration yet"},
 	rejectHeadersTooLarge:    {label: "headers_too_large", status: http.StatusRequestHeaderFieldsTooLarge, message: "headers too large", closesConnection: true},
 	rejectBodyTooLarge:       {label: "body_too_large", status: http.StatusRequestEntityTooLarge, message: "body too large", closesConnection: true},
+	rejectBodyIncomplete:     {label: "body_incomplete", status: http.StatusBadRequest, message: "the body did not come whole", closesConnection: true},
 	rejectMalformed:          {label: "malformed", status: http.StatusBadRequest, message: "malformed request", closesConnection: true, event: events.RequestRejected},
 	rejectNoRoute:            {label: "no_route", status: http.StatusNotFound, message: "no route"},
 	rejectUnauthenticated:    {label: "unauthenticated", status: http.StatusUnauthorized, message: "a valid key is needed"},
--- a/internal/frontend/rejection_test.go
+++ b/internal/frontend/rejection_test.go
@@ -8,7 +8,7 @@
 // processed asks the client to come back, and only what leaves the rest of the
 // connection in doubt closes it.
 func TestRejections(t *testing.T) {
-	closes := map[rejection]bool{rejectHeadersTooLarge: true, rejectBodyTooLarge: true, rejectMalformed: true}
+	closes := map[rejection]bool{rejectHeadersTooLarge: true, rejectBodyTooLarge: true, rejectBodyIncomplete: true, rejectMalformed: true}
 	for i, r := range rejections {
 		reason := rejection(i)
 		t.Run(r.message, func(t *testing.T) {
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -41,6 +41,10 @@
 			out.Header.Add(name, string(value))
 		}
 	})
+	if stream := attempt.TakeStream(); stream != nil {
+		out.HijackWriter(e.caller.NewResponseWriter(&out.Header, stream, e.deadlines.ShardDeadline))
+		return
+	}
 	// The attempt's memory is released before the response is written.
 	out.SetBodyRaw(attempt.Body())
 	if isRetryable(out.StatusCode()) && len(out.Header.Peek("Retry-After")) == 0 {
--- a/internal/host/bounds.go
+++ b/internal/host/bounds.go
@@ -26,6 +26,9 @@
 	// message may take one part in messageMemoryParts of the memory.
 	defaultMemoryMb    = 256
 	messageMemoryParts = 32
+	// bufferedBodyParts of the greatest message are bodies of clients that are in
+	// memory as a whole.
+	bufferedBodyParts = 8
 	// messageCopies is how many copies of a message its decoding and its handling
 	// hold.
 	messageCopies = 2
@@ -122,6 +125,10 @@
 // MaxMessageBytes bounds a message between nodes, unpacked or not.
 func (h *Host) MaxMessageBytes() int { return int(h.memoryBytes() / messageMemoryParts) }
 
+// MaxBufferedBodyBytes bounds the bodies of clients' requests, and of responses to
+// them, that are in memory as a whole. Larger ones are passed on as they come.
+func (h *Host) MaxBufferedBodyBytes() int { return h.MaxMessageBytes() / bufferedBodyParts }
+
 // callerLimits is what the callers of all listeners may take together.
 func (h *Host) callerLimits() transport.ResourceLimits {
 	descriptors := h.Settings().Limits.FileDescriptors
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -151,6 +151,9 @@
 
 // mayRetry reports whether what bounds further attempts grants one to a shard.
 func (r *run) mayRetry(s *ShardRequest) bool {
+	if r.request.BodyBegun() {
+		return false
+	}
 	if s.isRetry() && !r.RetryBudget.TryWithdraw(s.Service, r.Now()) {
 		return false
 	}
--- a/internal/testcluster/crowd.go
+++ b/internal/testcluster/crowd.go
@@ -172,6 +172,16 @@
 	}
 }
 
+// HugeLimits are limits that allow bodies as large as a process's whole memory.
+const HugeLimits = `{"HeaderSizeBytes":16384,"BodySizeBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}`
+
+// HugeBodyThatStops announces a body of 64 MiB and stops in the middle of it.
+func HugeBodyThatStops(conn net.Conn) {
+	if write(conn, head("POST", "/u/x", "Content-Length: 67108864\r\n")+"\r\n") {
+		flood(conn, strings.Repeat("b", 64<<10), 2<<20)
+	}
+}
+
 // UnreadResponses sends many requests at once and reads no answer.
 func UnreadResponses(conn net.Conn) {
 	const requests = 400
--- a/internal/testcluster/endpoint.go
+++ b/internal/testcluster/endpoint.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -33,6 +34,8 @@
 	ModeSurplus Mode = "surplus"
 	// ModeLarge answers with LargeAnswerBytes.
 	ModeLarge Mode = "large"
+	// ModeHuge answers with HugeAnswerBytes.
+	ModeHuge Mode = "huge"
 	// ModeNoStamp answers without a server stamp.
 	ModeNoStamp Mode = "nostamp"
 )
@@ -40,6 +43,9 @@
 // LargeAnswerBytes is the size of an answer in ModeLarge.
 const LargeAnswerBytes = 256 << 10
 
+// HugeAnswerBytes is the size of an answer in ModeHuge.
+const HugeAnswerBytes = 16 << 20
+
 const (
 	slowAnswerDelay = 700 * time.Millisecond
 	hangTime        = 5 * time.Second
@@ -140,8 +146,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if mode == ModeLarge {
-		_, _ = w.Write(make([]byte, LargeAnswerBytes))
+	if size := mode.answerBytes(); size > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		answerZeros(w, size)
 		return
 	}
 	e.mu.Lock()
@@ -156,6 +163,27 @@
 	_, _ = w.Write(Records(e.service))
 }
 
+// answerBytes is the size of the answers of a mode, 0 for that of the records.
+func (m Mode) answerBytes() int {
+	switch m {
+	case ModeLarge:
+		return LargeAnswerBytes
+	case ModeHuge:
+		return HugeAnswerBytes
+	}
+	return 0
+}
+
+// answerZeros writes a body of zeros piece by piece, until its caller has left.
+func answerZeros(w http.ResponseWriter, size int) {
+	piece := make([]byte, min(size, LargeAnswerBytes))
+	for ; size > 0; size -= len(piece) {
+		if _, err := w.Write(piece[:min(size, len(piece))]); err != nil {
+			return
+		}
+	}
+}
+
 // delay is how long an endpoint of this mode works on a request.
 func (m Mode) delay() time.Duration {
 	switch m {
--- a/internal/transport/caller.go
+++ b/internal/transport/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,8 @@
 	// conn is the connection whose budget the responses to the caller take, nil
 	// for none.
 	conn *serverConn
+	// body is that of the present request if its handler is to read it.
+	body atomic.Pointer[RequestBody]
 }
 
 // callerKey is the key of the Caller among the values of a handler's context.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -104,7 +104,7 @@
 	parsed := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(parsed)
 	request := appendRequest(addr, method, path, headers, body)
-	if _, err := conn.Exchange(ctx, [][]byte{request}, deadline, false, c.options.MaxBodyBytes, parsed); err != nil {
+	if _, err := conn.Exchange(ctx, &Outgoing{Parts: [][]byte{request}, MaxBodyBytes: c.options.MaxBodyBytes}, deadline, parsed); err != nil {
 		_ = conn.Close()
 		return Response{}, err
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"syscall"
@@ -21,6 +23,33 @@
 	// the peer keeps it open then. Conn itself uses neither.
 	IdleSince   time.Time
 	IdleTimeout time.Duration
+	// streamed is the body of the last response where it is to be passed on as it
+	// comes.
+	streamed *ResponseBody
+	// spent: a request was not sent whole, so that no other may follow.
+	spent bool
+}
+
+// Outgoing is a request as it is sent.
+type Outgoing struct {
+	// Parts are the head, and the body if it is not streamed.
+	Parts [][]byte
+	// Body follows the parts, as it comes from its caller; nil for none.
+	Body *RequestBody
+	// IsHead: the request is a HEAD, whose response has no body.
+	IsHead bool
+	// MaxBodyBytes bounds the body of the response. BufferedBodyBytes, where it is
+	// set, bounds what is read of it before Exchange returns: a larger one, of any
+	// size, is left to TakeBody.
+	MaxBodyBytes, BufferedBodyBytes int
+}
+
+// bufferedBytes bounds a body that is read before Exchange returns.
+func (o *Outgoing) bufferedBytes() int {
+	if o.BufferedBodyBytes > 0 {
+		return o.BufferedBodyBytes
+	}
+	return o.MaxBodyBytes
 }
 
 // Dial opens a connection to addr (host:port) within timeout. tcpUserTimeout is
@@ -34,13 +63,12 @@
 	return &Conn{Conn: conn, in: reader{conn: conn}}, nil
 }
 
-// Exchange sends the parts of a request and reads its response into out, skipping
+// Exchange sends a request and reads its response into out, skipping
 // interim responses. A large body of a response counts as taken by the caller of
-// ctx, if it has one. isHead says that the request is a HEAD, whose response has no
-// body. sent reports whether any byte may have gone out. Once ctx is canceled
+// ctx, if it has one. sent reports whether any byte may have gone out. Once ctx is canceled
 // it fails, with the error of ctx. After an error the connection must be
 // closed, which is how HTTP/1.1 tells the peer to stop.
-func (c *Conn) Exchange(ctx context.Context, request [][]byte, deadline time.Time, isHead bool, maxBodyBytes int, out *protocol.Response) (sent bool, err error) {
+func (c *Conn) Exchange(ctx context.Context, request *Outgoing, deadline time.Time, out *protocol.Response) (sent bool, err error) {
 	if c.HasUnsolicited() {
 		return false, ErrUnsolicited
 	}
@@ -51,7 +79,7 @@
 		return false, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
-	sent, err = c.exchange(request, isHead, out, func() error { return c.readBody(CallerFrom(ctx), deadline, maxBodyBytes, out) })
+	sent, err = c.exchange(CallerFrom(ctx), request, deadline, out)
 	if !stop() {
 		// The deadline may still be about to change: the connection must not
 		// be used again, even if the response is whole.
@@ -60,35 +88,59 @@
 	return sent, err
 }
 
-// exchange is Exchange within the deadline that is set. readBody reads the body
-// behind the head that is in out.
-func (c *Conn) exchange(request [][]byte, isHead bool, out *protocol.Response, readBody func() error) (sent bool, err error) {
-	for _, part := range request {
+// exchange is Exchange within the deadline that is set.
+func (c *Conn) exchange(caller *Caller, request *Outgoing, deadline time.Time, out *protocol.Response) (sent bool, err error) {
+	for _, part := range request.Parts {
 		n, err := c.Write(part)
 		sent = sent || n > 0
 		if err != nil {
 			return sent, err
 		}
 	}
-	out.SkipBody = isHead
+	if request.Body == nil {
+		return true, c.readResponse(caller, request, deadline, out)
+	}
+	pump := startPump(c, request.Body, deadline)
+	err = c.readResponse(caller, request, deadline, out)
+	pumpErr := pump.stop()
+	c.spent = pumpErr != nil
+	if errors.Is(pumpErr, ErrCallerBody) {
+		return true, pumpErr
+	}
+	return true, err
+}
+
+// readResponse reads a response, but for a body that is streamed.
+func (c *Conn) readResponse(caller *Caller, request *Outgoing, deadline time.Time, out *protocol.Response) error {
+	out.SkipBody = request.IsHead
 	if err := c.readHeader(out); err != nil {
-		return true, err
+		return err
 	}
 	if !out.Header.IsHTTP11() {
-		return true, errNotHTTP11
+		return errNotHTTP11
 	}
-	if !isHead && out.Header.ContentLength() == contentUntilClose && !out.Header.MustSkipContentLength() {
-		return true, ErrNoBodyLength
+	if !request.IsHead && out.Header.ContentLength() == contentUntilClose && !out.Header.MustSkipContentLength() {
+		return ErrNoBodyLength
 	}
-	if err := readBody(); err != nil {
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		return true, err
+	err := c.readBody(caller, request, deadline, out)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
 	}
-	return true, nil
+	return err
+}
+
+// TakeBody returns the body of the last response if it is to be passed on as it
+// comes, nil if it was read.
+func (c *Conn) TakeBody() *ResponseBody {
+	body := c.streamed
+	c.streamed = nil
+	return body
 }
 
+// Spent reports whether the last request was not sent whole, since its response
+// came before.
+func (c *Conn) Spent() bool { return c.spent }
+
 // pooledBodyBytes is the size of the largest body in memory that is reused once
 // its response is released. A larger one has memory of its own.
 const pooledBodyBytes = 4 << 10
@@ -106,16 +158,20 @@
 // chunkedLength is hertz's content length of a body in chunks.
 const chunkedLength = -1
 
-// readBody reads the body of a response. The memory for a large one is taken of
-// the budget for the caller, if there is one, before it is read.
-func (c *Conn) readBody(caller *Caller, deadline time.Time, maxBytes int, out *protocol.Response) error {
+// readBody reads the body of a response, or begins to stream it. The memory for a
+// large one is taken of the budget for the caller, if there is one, before it is
+// read.
+func (c *Conn) readBody(caller *Caller, request *Outgoing, deadline time.Time, out *protocol.Response) error {
 	defer c.in.shrink()
-	length := out.Header.ContentLength()
+	length, maxBytes := out.Header.ContentLength(), request.MaxBodyBytes
 	switch {
 	case out.MustSkipBody():
 		return nil
 	case length == chunkedLength:
-		return c.readChunks(caller, deadline, maxBytes, out)
+		return c.readChunks(caller, request, deadline, out)
+	case request.BufferedBodyBytes > 0 && length > request.BufferedBodyBytes:
+		c.streamed = &ResponseBody{conn: c, length: int64(length), left: int64(length)}
+		return caller.takeResponse(streamBufferBytes, deadline)
 	case length <= pooledBodyBytes || length > maxBytes:
 		return resp.ReadRespBody(out, &c.in, maxBytes)
 	}
@@ -130,11 +186,12 @@
 	return nil
 }
 
-// readChunks reads a body in chunks.
-func (c *Conn) readChunks(caller *Caller, deadline time.Time, maxBytes int, out *protocol.Response) error {
+// readChunks reads a body in chunks, or begins to stream it where it turns out to
+// be large.
+func (c *Conn) readChunks(caller *Caller, request *Outgoing, deadline time.Time, out *protocol.Response) error {
 	reserved := 0
 	chunks := chunkReader{
-		chunkDecoder: chunkDecoder{source: &c.in, maxBytes: int64(maxBytes), maxTrailerBytes: maxResponseHeaderBytes},
+		chunkDecoder: chunkDecoder{source: &c.in, maxBytes: int64(request.bufferedBytes()), maxTrailerBytes: maxResponseHeaderBytes},
 		reserve: func(size int) error {
 			more := size - reserved
 			reserved = size
@@ -142,7 +199,13 @@
 		},
 		trustsSizes: true,
 	}
-	if err := chunks.read(); err != nil {
+	err := chunks.read()
+	if errors.Is(err, errBodyTooLarge) && request.BufferedBodyBytes > 0 {
+		chunks.maxBytes = math.MaxInt64
+		c.streamed = &ResponseBody{conn: c, length: unknownLength, prefix: chunks.body, chunks: &chunks.chunkDecoder}
+		return caller.takeResponse(streamBufferBytes, deadline)
+	}
+	if err != nil {
 		return err
 	}
 	out.SetBodyRaw(chunks.body)
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -42,7 +42,7 @@
 	}
 	t.Cleanup(func() { _ = conn.Close() })
 	out := &protocol.Response{}
-	sent, err := conn.Exchange(t.Context(), [][]byte{[]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")}, time.Now().Add(time.Second), isHead, 1<<10, out)
+	sent, err := conn.Exchange(t.Context(), &Outgoing{Parts: [][]byte{[]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")}, IsHead: isHead, MaxBodyBytes: 1 << 10}, time.Now().Add(time.Second), out)
 	if !sent {
 		t.Error("nothing was sent")
 	}
--- a/internal/transport/refusal.go
+++ b/internal/transport/refusal.go
@@ -119,7 +119,23 @@
 	if _, err := c.Conn.Write(reason.response(c.options.RetryAfter)); err != nil {
 		return
 	}
-	if reason == refusedTimedOut || !c.tracker.budget.linger(c) {
+	if reason != refusedTimedOut {
+		c.linger()
+	}
+}
+
+// lingerIfUnread lets the last response arrive of a connection that ends although
+// its caller has sent more than was read.
+func (c *serverConn) lingerIfUnread() {
+	if c.leftUnread || c.in.start < c.in.end {
+		c.linger()
+	}
+}
+
+// linger closes the sending side and discards for a moment what the caller still
+// sends.
+func (c *serverConn) linger() {
+	if !c.tracker.budget.linger(c) {
 		return
 	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -145,7 +161,7 @@
 func (b *Budget) linger(c *serverConn) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.evicted {
+	if c.evicted || c.removed {
 		return false
 	}
 	b.enter(c, stateLingering)
--- a/internal/transport/request_body.go
+++ b/internal/transport/request_body.go
@@ -7,16 +7,19 @@
 
 var interimContinue = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
-// readBody reads the body of the present request, whose head was consumed.
+// readBody reads the body of the present request, whose head was consumed, unless
+// it is one that the handler reads.
 func (r *requestReader) readBody(framing requestFraming) error {
+	if r.limits.streams(framing.length) {
+		return r.beginStream(&RequestBody{length: framing.length, left: framing.length, expectsContinue: framing.expectsContinue})
+	}
 	if framing.length > 0 {
 		if err := r.chargeBody(int(framing.length)); err != nil {
 			return err
 		}
 	}
 	if framing.expectsContinue {
-		_ = r.conn.setWriteDeadline(time.Now().Add(refusalWriteTimeout))
-		if _, err := r.conn.Conn.Write(interimContinue); err != nil {
+		if err := r.writeContinue(); err != nil {
 			return err
 		}
 	}
@@ -37,18 +40,30 @@
 	return nil
 }
 
+// writeContinue has the caller send the body.
+func (r *requestReader) writeContinue() error {
+	_ = r.conn.setWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_, err := r.conn.Conn.Write(interimContinue)
+	return err
+}
+
 // chargeBody takes bytes for a body of a size, and for the copies of it.
 func (r *requestReader) chargeBody(size int) error {
 	return r.charge(&r.charges.body, size*(1+r.conn.options.BodyCopies))
 }
 
-// readChunks reads a body in chunks. The trailers may take as much as a head.
+// readChunks reads a body in chunks, or leaves it to the handler where it turns
+// out to be large. The trailers may take as much as a head.
 func (r *requestReader) readChunks() error {
 	chunks := chunkReader{
-		chunkDecoder: chunkDecoder{source: r, maxBytes: int64(r.limits.BodyBytes), maxTrailerBytes: r.limits.HeaderBytes},
+		chunkDecoder: chunkDecoder{source: r, maxBytes: int64(r.limits.bufferedBytes()), maxTrailerBytes: r.limits.HeaderBytes},
 		reserve:      r.chargeBody,
 	}
 	err := chunks.read()
+	if errors.Is(err, errBodyTooLarge) && r.limits.bufferedBytes() < r.limits.BodyBytes {
+		chunks.maxBytes = int64(r.limits.BodyBytes)
+		return r.beginStream(&RequestBody{length: unknownLength, prefix: chunks.body, chunks: &chunks.chunkDecoder})
+	}
 	r.body = chunks.body
 	switch {
 	case errors.Is(err, errMalformedChunks):
--- a/internal/transport/request_framing.go
+++ b/internal/transport/request_framing.go
@@ -107,7 +107,7 @@
 func (f *requestFraming) needsRewriting() bool { return f.chunked || f.expectsContinue }
 
 // rewrite returns a head that announces a length in place of chunks, and expects
-// no interim response.
+// no interim response. One that is to announce noLength says nothing of a body.
 func (f *requestFraming) rewrite(head []byte, length int) []byte {
 	out := make([]byte, 0, len(head)+minHeadRoom)
 	rest := head
@@ -117,13 +117,13 @@
 		if len(trimReturn(line)) == 0 {
 			break
 		}
-		if name, _, found := cutField(line); found && (bytes.EqualFold(name, transferEncodingName) || bytes.EqualFold(name, expectName)) {
+		if name, _, found := cutField(line); found && isDropped(name, length) {
 			continue
 		}
 		out = append(out, line...)
 		out = append(out, '\n')
 	}
-	if f.chunked {
+	if f.chunked && length != noLength {
 		out = append(out, "Content-Length: "...)
 		out = strconv.AppendInt(out, int64(length), 10)
 		out = append(out, "\r\n"...)
@@ -131,6 +131,12 @@
 	return append(out, "\r\n"...)
 }
 
+// isDropped reports whether a field is left out of a head that is rewritten.
+func isDropped(name []byte, length int) bool {
+	return bytes.EqualFold(name, transferEncodingName) || bytes.EqualFold(name, expectName) ||
+		length == noLength && bytes.EqualFold(name, contentLengthName)
+}
+
 // minHeadRoom is the room for the length in a head that is rewritten.
 const minHeadRoom = 48
 
--- /dev/null
+++ b/internal/transport/request_stream.go
@@ -0,0 +1,179 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// RequestBody is the body of a request that is too large to be read before the
+// request is handled. It is read once, by one goroutine at a time. A caller whose
+// body is not read whole is told that its connection ends.
+type RequestBody struct {
+	reader *requestReader
+	// length is the announced length, unknownLength where it comes in chunks.
+	length int64
+	// prefix was read already; left is what then comes of the announced length, or of
+	// the present chunk.
+	prefix []byte
+	left   int64
+	// chunks is nil where the length was announced.
+	chunks *chunkDecoder
+	// expectsContinue: the caller waits for an interim response.
+	expectsContinue bool
+
+	// mu is held during a read; closed: there are to be no further ones.
+	mu     sync.Mutex
+	closed bool
+
+	begun, whole atomic.Bool
+	// interrupted: the body is not wanted any more. failed: it did not come although
+	// it was wanted.
+	interrupted, failed atomic.Bool
+}
+
+// Length returns the length of the body, or a negative number if only its end
+// will show.
+func (b *RequestBody) Length() int64 { return b.length }
+
+// Begun reports whether any of the body was read: it can't be read again.
+func (b *RequestBody) Begun() bool { return b != nil && b.begun.Load() }
+
+// Whole reports whether all of the body was read.
+func (b *RequestBody) Whole() bool { return b.whole.Load() }
+
+// CallerFailed reports whether the caller did not send the body whole, in time and
+// within the limits.
+func (b *RequestBody) CallerFailed() bool { return b.failed.Load() }
+
+// Close ends the reading of the body, by whoever still reads it: the connection is
+// the caller's own again when it returns.
+func (b *RequestBody) Close() {
+	if !b.Whole() {
+		b.interrupt()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+}
+
+// interrupt ends a read that is under way, and all further ones.
+func (b *RequestBody) interrupt() {
+	b.interrupted.Store(true)
+	_ = b.SetDeadline(aLongTimeAgo)
+}
+
+// SetDeadline bounds the reads, also one that is under way.
+func (b *RequestBody) SetDeadline(deadline time.Time) error {
+	return b.reader.conn.setReadDeadline(deadline)
+}
+
+// Read implements io.Reader. Its error is ErrCallerBody, but for io.EOF behind the
+// last byte.
+func (b *RequestBody) Read(p []byte) (n int, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, b.fail(net.ErrClosed)
+	}
+	if !b.begun.Swap(true) && b.expectsContinue {
+		if err := b.reader.writeContinue(); err != nil {
+			return 0, b.fail(err)
+		}
+	}
+	n, err = b.read(p)
+	switch err {
+	case nil:
+		return n, nil
+	case io.EOF:
+		b.whole.Store(true)
+		return n, io.EOF
+	}
+	return n, b.fail(err)
+}
+
+// fail returns the error of a read that failed.
+func (b *RequestBody) fail(err error) error {
+	if !b.interrupted.Load() {
+		b.failed.Store(true)
+	}
+	return errors.Join(ErrCallerBody, err)
+}
+
+// ErrCallerBody is the error of a request whose body its caller did not send whole,
+// in time and within the limits.
+var ErrCallerBody = errors.New("the body did not come whole")
+
+func (b *RequestBody) read(p []byte) (int, error) {
+	if len(b.prefix) > 0 {
+		n := copy(p, b.prefix)
+		b.prefix = b.prefix[n:]
+		return n, nil
+	}
+	if b.left == 0 {
+		if err := b.nextChunk(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.reader.readInto(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	if n > 0 {
+		return n, nil
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return 0, err
+}
+
+// nextChunk reads up to the next chunk, or fails with io.EOF behind the last.
+func (b *RequestBody) nextChunk() error {
+	if b.chunks == nil || b.chunks.ended {
+		return io.EOF
+	}
+	size, err := b.chunks.next()
+	if err == nil && size == 0 {
+		return io.EOF
+	}
+	b.left = size
+	return err
+}
+
+// beginStream makes the body of the present request, whose head was consumed, one
+// that its handler reads.
+func (r *requestReader) beginStream(body *RequestBody) error {
+	// What the prefix takes, if there is one, stays taken.
+	if err := r.chargeBody(len(body.prefix) + streamBufferBytes); err != nil {
+		return err
+	}
+	body.reader = r
+	r.stream = body
+	r.conn.caller.body.Store(body)
+	return nil
+}
+
+// endStream ends the handler's access to the body. A connection on which some of
+// it is unread can carry no further request.
+func (r *requestReader) endStream() {
+	if r.stream == nil {
+		return
+	}
+	r.stream.Close()
+	r.conn.caller.body.Store(nil)
+	if !r.stream.Whole() {
+		r.conn.leftUnread = true
+	}
+	r.stream = nil
+}
+
+// RequestBody returns the body of the caller's present request if its handler is to
+// read it, nil if the request has none or came with it.
+func (c *Caller) RequestBody() *RequestBody {
+	if c == nil {
+		return nil
+	}
+	return c.body.Load()
+}
--- a/internal/transport/server_conn.go
+++ b/internal/transport/server_conn.go
@@ -31,6 +31,8 @@
 	in requestReader
 	// requests counts those that were read whole.
 	requests int
+	// leftUnread: a part of a request is unread that is read by nobody any more.
+	leftUnread bool
 
 	// out is what was written of a response and not sent yet; pending are the
 	// parts before it.
@@ -72,6 +74,7 @@
 
 // Close implements net.Conn.
 func (c *serverConn) Close() error {
+	c.lingerIfUnread()
 	c.caller.close()
 	err := c.Conn.Close()
 	c.tracker.budget.remove(c)
--- a/internal/transport/server_reader.go
+++ b/internal/transport/server_reader.go
@@ -29,6 +29,9 @@
 	// HeaderBytes bounds the head of a request, and its trailers.
 	HeaderBytes int
 	BodyBytes   int
+	// BufferedBodyBytes bounds the bodies that are read before their requests are
+	// handled; handlers read larger ones: Caller.RequestBody. 0 means that all are.
+	BufferedBodyBytes int
 	// ReadTimeout bounds the reading of a request, from the accepted connection
 	// on or from the request's first byte.
 	ReadTimeout time.Duration
@@ -36,6 +39,19 @@
 	IdleTimeout time.Duration
 }
 
+// streams reports whether the handler reads a body of this length.
+func (l *RequestLimits) streams(length int64) bool {
+	return l.BufferedBodyBytes > 0 && length > int64(l.BufferedBodyBytes)
+}
+
+// bufferedBytes bounds a body that is read before its request is handled.
+func (l *RequestLimits) bufferedBytes() int {
+	if l.BufferedBodyBytes > 0 {
+		return min(l.BodyBytes, l.BufferedBodyBytes)
+	}
+	return l.BodyBytes
+}
+
 // requestReader reads one request at a time from a connection, head and body,
 // within limits and with bytes taken of the budget before a buffer grows. It
 // gives hertz each request as a head that announces its length and a body
@@ -51,8 +67,10 @@
 	limits   RequestLimits
 	deadline time.Time
 
-	// head and body are what is left for hertz of the present request.
+	// head and body are what is left for hertz of the present request. stream is its
+	// body if its handler is to read it, nil if it is not.
 	head, body []byte
+	stream     *RequestBody
 	// loaded: a request was read and not released yet.
 	loaded bool
 }
@@ -95,7 +113,7 @@
 	if framing.length > int64(r.limits.BodyBytes) {
 		return refusedBodyTooLarge
 	}
-	if framing.needsRewriting() {
+	if framing.needsRewriting() || r.limits.streams(framing.length) {
 		// The body is read over the head.
 		head = append([]byte(nil), head...)
 	}
@@ -103,7 +121,10 @@
 	if err := r.readBody(framing); err != nil {
 		return err
 	}
-	if framing.needsRewriting() {
+	switch {
+	case r.stream != nil:
+		head = framing.rewrite(head, noLength)
+	case framing.needsRewriting():
 		head = framing.rewrite(head, len(r.body))
 	}
 	if !r.conn.enter(stateHandling) {
@@ -249,6 +270,7 @@
 // release gives back the memory of the present request, but for what hertz keeps
 // and for what was read of the next one.
 func (r *requestReader) release() {
+	r.endStream()
 	r.head, r.body, r.loaded = nil, nil, false
 	_ = r.charge(&r.charges.body, 0) // giving back does not fail
 	if r.start == r.end {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -66,6 +66,9 @@
 	// Response is set where the outcome is OutcomeAnswered or
 	// OutcomeUnprocessed, until Release.
 	Response *protocol.Response
+	// Stream is the body of the response where it is passed on as it comes; Response
+	// has none then.
+	Stream *transport.ResponseBody
 	// RelayedBody is the body of a response that another front relayed.
 	RelayedBody []byte
 	// Err is set where the outcome is OutcomeUnsent, OutcomeUnknown or
@@ -114,6 +117,17 @@
 		protocol.ReleaseResponse(a.Response)
 		a.Response = nil
 	}
+	if stream := a.TakeStream(); stream != nil {
+		stream.Close()
+	}
+}
+
+// TakeStream returns the streamed body of the response, nil if there is none, and
+// leaves it to the caller to close.
+func (a *Attempt) TakeStream() *transport.ResponseBody {
+	stream := a.Stream
+	a.Stream = nil
+	return stream
 }
 
 // Do sends the request to an endpoint that Pick returned with start, and waits
@@ -161,7 +175,7 @@
 	}
 	response := protocol.AcquireResponse()
 	began := time.Now()
-	sent, err := conn.Exchange(ctx, request.encode(e.ID, deadline.Sub(began)), deadline, request.Method == http.MethodHead, p.options.MaxBodyBytes, response)
+	sent, err := conn.Exchange(ctx, p.outgoing(e, request, deadline.Sub(began)), deadline, response)
 	if err == nil && !answers(response, request.ID) {
 		err = transport.ErrUnsolicited
 	}
@@ -175,10 +189,24 @@
 	}
 	attempt := answeredAttempt(response, time.Since(began))
 	p.recordLoad(e, response)
-	p.finish(e, conn, response)
+	attempt.Stream = p.finish(e, conn, response)
 	return attempt
 }
 
+// outgoing returns the request as an endpoint gets it.
+func (p *Pool) outgoing(e *Endpoint, request *Request, remaining time.Duration) *transport.Outgoing {
+	outgoing := &transport.Outgoing{
+		Parts:        request.encode(e.ID, remaining),
+		Body:         request.streamed,
+		IsHead:       request.Method == http.MethodHead,
+		MaxBodyBytes: p.options.MaxBodyBytes,
+	}
+	if request.StreamsResponse {
+		outgoing.BufferedBodyBytes = p.options.BufferedBodyBytes
+	}
+	return outgoing
+}
+
 // connect returns an idle connection to the endpoint, or a new one.
 func (p *Pool) connect(e *Endpoint, request *Request, now, deadline time.Time) (conn *transport.Conn, dialed bool, err error) {
 	minIdle := time.Duration(0)
@@ -211,8 +239,8 @@
 		return Attempt{Outcome: OutcomeCanceled, Err: err}
 	case !sent:
 		return Attempt{Outcome: OutcomeUnsent, Err: err}
-	case errors.Is(err, transport.ErrNoRoom):
-		// The shortage is this node's own.
+	case errors.Is(err, transport.ErrNoRoom), errors.Is(err, transport.ErrCallerBody):
+		// The shortage is this node's own, or the body the client's.
 		return Attempt{Outcome: OutcomeCanceled, Err: err}
 	}
 	events.Log(events.ResponseMalformed, "searcher", e.ID, "err", err)
@@ -234,16 +262,35 @@
 	return attempt
 }
 
-// finish keeps or closes the connection of a whole response.
-func (p *Pool) finish(e *Endpoint, conn *transport.Conn, response *protocol.Response) {
+// finish keeps or closes the connection of a whole response. Where the body of the
+// response is streamed it returns the body, with whose end that follows.
+func (p *Pool) finish(e *Endpoint, conn *transport.Conn, response *protocol.Response) *transport.ResponseBody {
+	mayReuse, timeout := !response.ConnectionClose() && !conn.Spent(), p.idleTimeout(response)
+	stream := conn.TakeBody()
+	if stream == nil {
+		p.finishConn(e, conn, mayReuse, timeout)
+		return nil
+	}
+	stream.OnClose(func(whole bool) {
+		if !whole {
+			_ = conn.Close()
+			return
+		}
+		p.finishConn(e, conn, mayReuse, timeout)
+	})
+	return stream
+}
+
+// finishConn keeps or closes a connection whose last response was read whole.
+func (p *Pool) finishConn(e *Endpoint, conn *transport.Conn, mayReuse bool, timeout time.Duration) {
 	switch {
 	case conn.HasUnsolicited():
 		p.stopReuse(e, time.Now())
 		_ = conn.Close()
-	case response.ConnectionClose():
+	case !mayReuse:
 		_ = conn.Close()
 	default:
-		p.putIdle(e, conn, p.idleTimeout(response))
+		p.putIdle(e, conn, timeout)
 	}
 }
 
--- a/internal/upstream/options.go
+++ b/internal/upstream/options.go
@@ -28,6 +28,9 @@
 	SettleTime time.Duration
 	// MaxBodyBytes bounds the body of a response.
 	MaxBodyBytes int
+	// BufferedBodyBytes bounds the body of a response that is read before it is passed
+	// on, where the request streams its response.
+	BufferedBodyBytes int
 
 	// ConsecutiveFailures is after how many failures in a row an endpoint is
 	// ejected.
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"swiftswitch/internal/tenant"
+	"swiftswitch/internal/transport"
 )
 
 // Request is a request in the form in which it goes to endpoints, ready to be
@@ -30,6 +31,8 @@
 	Route         string
 	TargetLatency time.Duration
 	Idempotent    bool
+	// StreamsResponse: a large body of a response is passed on as it comes.
+	StreamsResponse bool
 	// MayRunAgain, where it is set, is asked before a further attempt is made
 	// while an earlier one may have run.
 	MayRunAgain func() bool
@@ -44,6 +47,9 @@
 	// keyLines are the header lines with the client's key.
 	keyLines []byte
 	body     []byte
+	// streamed is a body that goes out as it comes from the client, once at most;
+	// nil for none.
+	streamed *transport.RequestBody
 }
 
 // noDeadline is the DeadlineMs of a request without one.
@@ -111,10 +117,27 @@
 func (r *Request) Head() string { return string(r.head) }
 
 // IsGetWithoutBody reports whether the request is a GET that has no body.
-func (r *Request) IsGetWithoutBody() bool { return len(r.body) == 0 && r.Method == http.MethodGet }
+func (r *Request) IsGetWithoutBody() bool { return !r.HasBody() && r.Method == http.MethodGet }
 
 // HasBody reports whether the request has a body.
-func (r *Request) HasBody() bool { return len(r.body) > 0 }
+func (r *Request) HasBody() bool { return len(r.body) > 0 || r.streamed != nil }
+
+// SetStreamedBody gives a request that was parsed without its body one that goes out
+// as it comes. It must be called once at most, and before the first attempt.
+func (r *Request) SetStreamedBody(body *transport.RequestBody) {
+	r.streamed = body
+	if body.Length() < 0 {
+		r.head = append(r.head, "Transfer-Encoding: chunked\r\n"...)
+		return
+	}
+	r.head = append(r.head, "Content-Length: "...)
+	r.head = strconv.AppendInt(r.head, body.Length(), 10)
+	r.head = append(r.head, "\r\n"...)
+}
+
+// BodyBegun reports whether a part of a streamed body has gone out, so that the
+// request can't be sent again.
+func (r *Request) BodyBegun() bool { return r.streamed.Begun() }
 
 // encode returns the request as the instance gets it, with the time that
 // remains until the deadline, in parts. Large parts are shared by all attempts.
