A connection that this side ends lets its last answer arrive

Clients that pipeline lost the end of an answer that closes the connection, as on a drain: the connection was closed with their next requests unread, which resets it and discards what they had not read yet. Requests behind such an answer never ran, but the answer was lost too.

--- a/internal/frontend/large_body_test.go
+++ b/internal/frontend/large_body_test.go
@@ -223,6 +223,8 @@
 		t.Run(path, func(t *testing.T) {
 			endpoint.takeProcessed()
 			second.takeProcessed()
+			// A front that has measured no latencies yet sends no hedge so soon.
+			addr, _ := newTestFront(t, endpoint.addr, second.addr)
 			responses, rest := send(t, addr, rawRequest("GET", path, "1", "", ""), "GET")
 			if len(responses) > 0 || rest != io.ErrUnexpectedEOF.Error() {
 				t.Errorf("%d answers, then %q", len(responses), rest)
--- a/internal/transport/refusal.go
+++ b/internal/transport/refusal.go
@@ -124,10 +124,11 @@
 	}
 }
 
-// lingerIfUnread lets the last response arrive of a connection that ends although
-// its caller has sent more than was read.
-func (c *serverConn) lingerIfUnread() {
-	if c.leftUnread || c.in.start < c.in.end {
+// lingerAfterAnswer lets the last answer arrive of a connection that this side ends:
+// its caller may have sent more, or be about to (RFC 9112, section 9.6).
+func (c *serverConn) lingerAfterAnswer() {
+	if c.answered {
+		c.answered = false
 		c.linger()
 	}
 }
--- a/internal/transport/request_stream.go
+++ b/internal/transport/request_stream.go
@@ -155,17 +155,13 @@
 	return nil
 }
 
-// endStream ends the handler's access to the body. A connection on which some of
-// it is unread can carry no further request.
+// endStream ends the handler's access to the body.
 func (r *requestReader) endStream() {
 	if r.stream == nil {
 		return
 	}
 	r.stream.Close()
 	r.conn.caller.body.Store(nil)
-	if !r.stream.Whole() {
-		r.conn.leftUnread = true
-	}
 	r.stream = nil
 }
 
--- a/internal/transport/server_conn.go
+++ b/internal/transport/server_conn.go
@@ -31,8 +31,8 @@
 	in requestReader
 	// requests counts those that were read whole.
 	requests int
-	// leftUnread: a part of a request is unread that is read by nobody any more.
-	leftUnread bool
+	// answered: a request was answered, and no other was awaited since.
+	answered bool
 
 	// out is what was written of a response and not sent yet; pending are the
 	// parts before it.
@@ -74,7 +74,7 @@
 
 // Close implements net.Conn.
 func (c *serverConn) Close() error {
-	c.lingerIfUnread()
+	c.lingerAfterAnswer()
 	c.caller.close()
 	err := c.Conn.Close()
 	c.tracker.budget.remove(c)
--- a/internal/transport/server_reader.go
+++ b/internal/transport/server_reader.go
@@ -90,6 +90,7 @@
 
 // load reads the next request.
 func (r *requestReader) load() error {
+	r.conn.answered = false
 	r.limits = r.conn.options.limits()
 	if err := r.awaitRequest(); err != nil {
 		return err
@@ -271,6 +272,7 @@
 // and for what was read of the next one.
 func (r *requestReader) release() {
 	r.endStream()
+	r.conn.answered = r.conn.answered || r.loaded
 	r.head, r.body, r.loaded = nil, nil, false
 	_ = r.charge(&r.charges.body, 0) // giving back does not fail
 	if r.start == r.end {
