--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -170,7 +170,7 @@
 	case length == chunkedLength:
 		return c.readChunks(caller, request, deadline, out)
 	case request.BufferedBodyBytes > 0 && length > request.BufferedBodyBytes:
-		c.streamed = &ResponseBody{conn: c, length: int64(length), left: int64(length)}
+		c.streamed = &ResponseBody{bodyStream: lengthStream(&c.in, int64(length))}
 		return caller.takeResponse(streamBufferBytes, deadline)
 	case length <= pooledBodyBytes || length > maxBytes:
 		return resp.ReadRespBody(out, &c.in, maxBytes)
@@ -201,8 +201,7 @@
 	}
 	err := chunks.read()
 	if errors.Is(err, errBodyTooLarge) && request.BufferedBodyBytes > 0 {
-		chunks.maxBytes = math.MaxInt64
-		c.streamed = &ResponseBody{conn: c, length: unknownLength, prefix: chunks.body, chunks: &chunks.chunkDecoder}
+		c.streamed = &ResponseBody{bodyStream: chunkStream(&chunks, math.MaxInt64)}
 		return caller.takeResponse(streamBufferBytes, deadline)
 	}
 	if err != nil {
--- a/internal/transport/request_body.go
+++ b/internal/transport/request_body.go
@@ -11,7 +11,7 @@
 // it is one that the handler reads.
 func (r *requestReader) readBody(framing requestFraming) error {
 	if r.limits.streams(framing.length) {
-		return r.beginStream(&RequestBody{length: framing.length, left: framing.length, expectsContinue: framing.expectsContinue})
+		return r.beginStream(&RequestBody{bodyStream: lengthStream(r, framing.length), expectsContinue: framing.expectsContinue})
 	}
 	if framing.length > 0 {
 		if err := r.chargeBody(int(framing.length)); err != nil {
@@ -61,8 +61,7 @@
 	}
 	err := chunks.read()
 	if errors.Is(err, errBodyTooLarge) && r.limits.bufferedBytes() < r.limits.BodyBytes {
-		chunks.maxBytes = int64(r.limits.BodyBytes)
-		return r.beginStream(&RequestBody{length: unknownLength, prefix: chunks.body, chunks: &chunks.chunkDecoder})
+		return r.beginStream(&RequestBody{bodyStream: chunkStream(&chunks, int64(r.limits.BodyBytes))})
 	}
 	r.body = chunks.body
 	switch {
--- a/internal/transport/request_stream.go
+++ b/internal/transport/request_stream.go
@@ -13,15 +13,8 @@
 // request is handled. It is read once, by one goroutine at a time. A caller whose
 // body is not read whole is told that its connection ends.
 type RequestBody struct {
+	bodyStream
 	reader *requestReader
-	// length is the announced length, unknownLength where it comes in chunks.
-	length int64
-	// prefix was read already; left is what then comes of the announced length, or of
-	// the present chunk.
-	prefix []byte
-	left   int64
-	// chunks is nil where the length was announced.
-	chunks *chunkDecoder
 	// expectsContinue: the caller waits for an interim response.
 	expectsContinue bool
 
@@ -35,10 +28,6 @@
 	interrupted, failed atomic.Bool
 }
 
-// Length returns the length of the body, or a negative number if only its end
-// will show.
-func (b *RequestBody) Length() int64 { return b.length }
-
 // Begun reports whether any of the body was read: it can't be read again.
 func (b *RequestBody) Begun() bool { return b != nil && b.begun.Load() }
 
@@ -84,7 +73,7 @@
 			return 0, b.fail(err)
 		}
 	}
-	n, err = b.read(p)
+	n, err = b.next(p)
 	switch err {
 	case nil:
 		return n, nil
@@ -107,41 +96,6 @@
 // in time and within the limits.
 var ErrCallerBody = errors.New("the body did not come whole")
 
-func (b *RequestBody) read(p []byte) (int, error) {
-	if len(b.prefix) > 0 {
-		n := copy(p, b.prefix)
-		b.prefix = b.prefix[n:]
-		return n, nil
-	}
-	if b.left == 0 {
-		if err := b.nextChunk(); err != nil {
-			return 0, err
-		}
-	}
-	n, err := b.reader.readInto(p[:min(int64(len(p)), b.left)])
-	b.left -= int64(n)
-	if n > 0 {
-		return n, nil
-	}
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
-	}
-	return 0, err
-}
-
-// nextChunk reads up to the next chunk, or fails with io.EOF behind the last.
-func (b *RequestBody) nextChunk() error {
-	if b.chunks == nil || b.chunks.ended {
-		return io.EOF
-	}
-	size, err := b.chunks.next()
-	if err == nil && size == 0 {
-		return io.EOF
-	}
-	b.left = size
-	return err
-}
-
 // beginStream makes the body of the present request, whose head was consumed, one
 // that its handler reads.
 func (r *requestReader) beginStream(body *RequestBody) error {
--- a/internal/transport/response_stream.go
+++ b/internal/transport/response_stream.go
@@ -12,13 +12,8 @@
 // ResponseBody is the body of a response that is too large to be read before it is
 // passed on. Its owner reads it and then calls Close.
 type ResponseBody struct {
-	conn   *Conn
-	length int64
-	// prefix, left and chunks are as in RequestBody.
-	prefix []byte
-	left   int64
-	chunks *chunkDecoder
-	whole  bool
+	bodyStream
+	whole bool
 	// onClose is called once, with whether the connection may carry another request.
 	onClose func(reusable bool)
 }
@@ -37,39 +32,9 @@
 
 // Read implements io.Reader. It fails with io.EOF behind the last byte alone.
 func (b *ResponseBody) Read(p []byte) (n int, err error) {
-	if len(b.prefix) > 0 {
-		n = copy(p, b.prefix)
-		b.prefix = b.prefix[n:]
-		return n, nil
-	}
-	if b.left == 0 {
-		if err := b.nextChunk(); err != nil {
-			b.whole = err == io.EOF
-			return 0, err
-		}
-	}
-	n, err = b.conn.in.readInto(p[:min(int64(len(p)), b.left)])
-	b.left -= int64(n)
-	if n > 0 {
-		return n, nil
-	}
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
-	}
-	return 0, err
-}
-
-// nextChunk reads up to the next chunk, or fails with io.EOF behind the last.
-func (b *ResponseBody) nextChunk() error {
-	if b.chunks == nil || b.chunks.ended {
-		return io.EOF
-	}
-	size, err := b.chunks.next()
-	if err == nil && size == 0 {
-		return io.EOF
-	}
-	b.left = size
-	return err
+	n, err = b.next(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
 }
 
 // ResponseWriter writes a response with a streamed body in place of hertz, which
