Quotas: bursts find their tokens, and unsure holders make nobody refused

Traced, with the ledger's numbers at each refusal: - Stock that one front was granted for a burst was missing at the other (level 0.1 to 0.8, 15 or 16 in stock): fronts may have no more in stock now than lies beyond BurstSize, so a burst is let through whichever fronts it comes to. - A new holder, which counts as unspent what fronts may have from the old one, refused what the quota allows: it says that it is unsure, and requests go on waiting. - Tokens in an answer that came too late were lost: a report names the last answer that was taken, and the holder takes back what went with another.

--- a/internal/front/quota_limiter.go
+++ b/internal/front/quota_limiter.go
@@ -105,8 +105,12 @@
 	}
 	waiter := &quotaWaiter{decided: make(chan quotaDecision, 1)}
 	q.waiters[name] = append(q.waiters[name], waiter)
+	isFirst := len(q.waiters[name]) == 1
 	q.mu.Unlock()
-	q.wake()
+	if isFirst {
+		// The others go along with its report, or with the next.
+		q.wake()
+	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
@@ -228,11 +232,18 @@
 	defer q.mu.Unlock()
 	q.holder = holder
 	admissions, again := q.shares.OnAnswer(report, answer, sent, q.host.Now())
+	askAgain := time.Duration(0)
 	for _, admission := range admissions {
 		q.decide(admission)
+		if admission.Refused == 0 {
+			askAgain = max(askAgain, admission.RetryAfter)
+		}
 	}
-	if again || len(q.waiters) > 0 {
+	switch {
+	case again, len(q.waiters) > 0 && askAgain == 0:
 		q.wake()
+	case len(q.waiters) > 0:
+		time.AfterFunc(askAgain, q.wake)
 	}
 }
 
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -20,6 +20,8 @@
 	incarnation, seq int64
 	reportedAt       time.Duration
 	stocks           map[string]int
+	// spent holds, by tenant, the tokens for waiting requests of the last answer.
+	spent map[string]int
 }
 
 // NewLedger returns the ledger of a holder whose lease begins at now, of a cluster
@@ -49,7 +51,7 @@
 // that a later one of the same front has overtaken.
 func (l *Ledger) Handle(report Report, limits Limits, now time.Duration) (answer Answer, ok bool) {
 	l.sweep(limits, now)
-	answer.Epoch = l.epoch
+	answer.Epoch, answer.Unsure = l.epoch, now < l.unknownUntil
 	front := l.fronts[report.Front]
 	if front != nil && front.incarnation == report.Incarnation && report.Seq <= front.seq {
 		return answer, false
@@ -64,6 +66,10 @@
 		front = &account{incarnation: report.Incarnation, stocks: map[string]int{}}
 		l.fronts[report.Front] = front
 	}
+	if report.Answered != front.seq {
+		l.takeBack(front)
+	}
+	front.spent = map[string]int{}
 	isFirst := front.seq == 0
 	front.seq, front.reportedAt = report.Seq, now
 	if report.Full {
@@ -99,6 +105,7 @@
 	l.setStock(front, demand.Tenant, demand.Stock)
 	p.fill(l.bounds, now)
 	grant.Waiting = p.takeWaiting(demand.Waiting)
+	front.spent[demand.Tenant] = grant.Waiting
 	if grant.Waiting < demand.Waiting {
 		grant.RetryAfterMs = max(1, p.wait().Milliseconds())
 		return grant
@@ -109,6 +116,16 @@
 	return grant
 }
 
+// takeBack takes back the tokens for waiting requests of an answer that the front did
+// not get. Those for its stock go by its reports.
+func (l *Ledger) takeBack(front *account) {
+	for tenant, tokens := range front.spent {
+		if p := l.pools[tenant]; p != nil {
+			p.level += float64(tokens)
+		}
+	}
+}
+
 // pool returns the pool of a tenant at its limit. A new one holds what came in
 // since the ledger began: what was spent before is not known.
 func (l *Ledger) pool(tenant string, limit Limit, now time.Duration) *pool {
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -50,9 +50,10 @@
 	return max(1, l.BurstSize+stockedToleranceRatio*b.tolerance(l))
 }
 
-// reserve is how many tokens are never in stock at fronts.
+// reserve is how many tokens are never in stock at fronts: a burst is let through
+// whichever fronts it comes to, also while others have stock that they don't need.
 func (b Bounds) reserve(l Limit) float64 {
-	return max(b.float(l), waitingReserveRatio*b.capacity(l))
+	return max(b.float(l), waitingReserveRatio*b.capacity(l), l.BurstSize)
 }
 
 // float is how many tokens may wait at the holder for requests even where others
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -8,6 +8,9 @@
 	Front       string `json:"F"`
 	Incarnation int64  `json:"I"`
 	Seq         int64  `json:"S"`
+	// Answered is the Seq of the last report whose answer the front took. It never
+	// takes an answer to an earlier one afterwards.
+	Answered int64 `json:"B,omitempty"`
 	// Epoch is that of the last holder that answered.
 	Epoch int64 `json:"E"`
 	// Full: the demands name all tenants that the front has tokens of. Otherwise
@@ -37,8 +40,11 @@
 	Holder string `json:"H,omitempty"`
 	// NeedsFull: the report was not taken, since the holder knows nothing of the
 	// front's stock; a full one is.
-	NeedsFull bool    `json:"A,omitempty"`
-	Grants    []Grant `json:"G,omitempty"`
+	NeedsFull bool `json:"A,omitempty"`
+	// Unsure: the holder does not know yet what fronts have of earlier holders. Where
+	// it has no token for a request the quota may allow the request all the same.
+	Unsure bool    `json:"N,omitempty"`
+	Grants []Grant `json:"G,omitempty"`
 }
 
 // Grant gives a front tokens of one tenant.
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -17,6 +17,9 @@
 	// front spends tokens, and stockIntervals how long its stock is to last.
 	rateIntervals  = 4
 	stockIntervals = 2
+	// askAgainRatio is the part of an interval after which a holder that is unsure is
+	// asked again at the soonest.
+	askAgainRatio = 0.2
 	// refusalRatio is the part of an interval for which requests are refused at
 	// least before the holder is asked again.
 	refusalRatio = 0.5
@@ -51,6 +54,8 @@
 	front       string
 	incarnation int64
 	seq, epoch  int64
+	// answered is the number of the last report whose answer was taken.
+	answered int64
 	// full: the next report must be a full one.
 	full bool
 	// confirmedAt is when the last report was sent that was answered.
@@ -156,7 +161,7 @@
 func (s *Shares) Report(now time.Duration) (report Report, due bool) {
 	s.voidUnconfirmed(now)
 	elapsed := now - s.reportedAt
-	report = Report{Front: s.front, Incarnation: s.incarnation, Epoch: s.epoch, Full: s.full}
+	report = Report{Front: s.front, Incarnation: s.incarnation, Answered: s.answered, Epoch: s.epoch, Full: s.full}
 	isStocked := false
 	for tenant, share := range s.shares {
 		wanted := share.refresh(s.bounds, elapsed, now)
@@ -203,7 +208,9 @@
 type Admission struct {
 	Tenant            string
 	Admitted, Refused int
-	RetryAfter        time.Duration
+	// RetryAfter is when those that are refused may come back, or, where some go on
+	// waiting, when the holder is to be asked again.
+	RetryAfter time.Duration
 }
 
 // OnAnswer takes the answer to a report that was sent at that time. again is set
@@ -218,14 +225,14 @@
 		s.OnFailure()
 		return nil, true
 	}
-	s.full, s.void = false, false
+	s.full, s.void, s.answered = false, false, report.Seq
 	s.confirmedAt = sent
 	for _, grant := range answer.Grants {
 		s.shares[grant.Tenant].stock += grant.Stock
 	}
 	for _, demand := range report.Demands {
 		if demand.Waiting > 0 {
-			admissions = append(admissions, s.admit(demand, grantOf(answer, demand.Tenant), now))
+			admissions = append(admissions, s.admit(demand, grantOf(answer, demand.Tenant), answer.Unsure, now))
 		}
 	}
 	return admissions, false
@@ -242,15 +249,21 @@
 }
 
 // admit divides the requests that waited when their demand was reported, less
-// those that have left, into those that have a token and the others.
-func (s *Shares) admit(demand Demand, grant Grant, now time.Duration) Admission {
+// those that have left, into those that have a token and the others. While the
+// holder is unsure the others go on waiting.
+func (s *Shares) admit(demand Demand, grant Grant, unsure bool, now time.Duration) Admission {
 	share := s.shares[demand.Tenant]
 	waited := min(demand.Waiting, share.waiting)
 	admission := Admission{Tenant: demand.Tenant, Admitted: min(grant.Waiting, waited)}
-	if grant.Waiting < demand.Waiting {
-		admission.Refused = waited - admission.Admitted
+	wait := time.Duration(grant.RetryAfterMs) * time.Millisecond
+	switch {
+	case grant.Waiting >= demand.Waiting:
+	case unsure:
+		admission.RetryAfter = max(scaled(s.bounds.Interval(), askAgainRatio), wait)
+	default:
 		least := scaled(s.bounds.Interval(), refusalRatio)
-		admission.RetryAfter = max(least, time.Duration(grant.RetryAfterMs)*time.Millisecond)
+		admission.Refused = waited - admission.Admitted
+		admission.RetryAfter = max(least, wait)
 		share.refusedUntil = now + least
 	}
 	share.waiting -= admission.Admitted + admission.Refused
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -29,7 +29,9 @@
 	frozenUntil time.Duration
 	call        *simulatedCall
 	reportAt    time.Duration
-	waiting     int
+	// askAt is when the holder may be asked for those that wait.
+	askAt   time.Duration
+	waiting int
 }
 
 // simulatedCall is a report under way, and its answer once the holder gave one.
@@ -166,7 +168,7 @@
 			f.waiting++
 		}
 	}
-	if f.call == nil && (f.waiting > 0 || s.now >= f.reportAt) {
+	if f.call == nil && (f.waiting > 0 && s.now >= f.askAt || s.now >= f.reportAt) {
 		s.send(f)
 	}
 }
@@ -217,6 +219,9 @@
 	for _, admission := range admissions {
 		f.waiting -= admission.Admitted + admission.Refused
 		s.refused += admission.Refused
+		if admission.Refused == 0 {
+			f.askAt = s.now + admission.RetryAfter
+		}
 		for range admission.Admitted {
 			s.spent = append(s.spent, s.now)
 		}
