--- a/internal/control/quota_controller.go
+++ b/internal/control/quota_controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"sync"
 	"time"
 
 	"swiftswitch/internal/commandloop"
@@ -21,7 +20,8 @@
 // ledger: another epoch begins with an empty one.
 type quotaController struct {
 	host *host.Host
-	// server's loop owns the lease and the decided state.
+	// server's loop owns the lease and the decided state; its lock is held while a
+	// configuration is parsed.
 	server *Server
 	// loop owns the fields below.
 	loop   *commandloop.Loop
@@ -29,12 +29,10 @@
 	// limits holds the limits of the tenants of a version of the configuration.
 	limits  map[string]quota.Limit
 	version int64
-	// parsing is that of the server.
-	parsing *sync.Mutex
 }
 
 func newQuotaController(s *Server) *quotaController {
-	return &quotaController{host: s.host, server: s, loop: commandloop.New(), parsing: &s.parsing}
+	return &quotaController{host: s.host, server: s, loop: commandloop.New()}
 }
 
 // quotaLease is what of the server's state a report is answered by.
@@ -107,14 +105,13 @@
 // the epoch of the lease. It runs on loop.
 func (q *quotaController) follow(lease quotaLease) {
 	if q.ledger == nil || q.ledger.Epoch() < lease.epoch {
-		bounds := q.host.QuotaBounds()
-		q.ledger = quota.NewLedger(lease.epoch, bounds, bounds.Validity(), q.host.Now())
+		q.ledger = quota.NewLedger(lease.epoch, q.host.QuotaBounds(), q.host.Now())
 	}
 	if q.version >= lease.state.Version {
 		return
 	}
-	q.parsing.Lock()
-	defer q.parsing.Unlock()
+	q.server.parsing.Lock()
+	defer q.server.parsing.Unlock()
 	configuration, err := config.DecodeConfiguration([]byte(lease.state.Body))
 	if err != nil {
 		events.Log(events.MessageRejected, "version", lease.state.Version, "err", err)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -4,8 +4,9 @@
 
 // Ledger holds the unspent tokens of all tenants under one epoch of the lease.
 type Ledger struct {
-	epoch     int64
-	bounds    Bounds
+	epoch  int64
+	bounds Bounds
+	// validity is for how long the stock of a silent front may be spent.
 	validity  time.Duration
 	startedAt time.Duration
 	// unknownUntil is until when fronts may have stock of earlier holders.
@@ -24,23 +25,21 @@
 	spent map[string]int
 }
 
-// NewLedger returns the ledger of a holder whose lease begins at now, of a cluster
-// in which fronts keep unconfirmed stock for validity.
-func NewLedger(epoch int64, bounds Bounds, validity, now time.Duration) *Ledger {
+// NewLedger returns the ledger of a holder whose lease begins at now.
+func NewLedger(epoch int64, bounds Bounds, now time.Duration) *Ledger {
+	validity := scaled(bounds.Validity(), clockRateMargin)
 	return &Ledger{
 		epoch:        epoch,
 		bounds:       bounds,
-		validity:     withMargin(validity),
+		validity:     validity,
 		startedAt:    now,
-		unknownUntil: now + withMargin(validity),
+		unknownUntil: now + validity,
 		pools:        map[string]*pool{},
 		fronts:       map[string]*account{},
 		sweptAt:      now,
 	}
 }
 
-func withMargin(d time.Duration) time.Duration { return time.Duration(float64(d) * clockRateMargin) }
-
 // Epoch returns the epoch of the lease under which the ledger is kept.
 func (l *Ledger) Epoch() int64 { return l.epoch }
 
@@ -78,7 +77,7 @@
 	for _, demand := range report.Demands {
 		limit, known := limits(demand.Tenant)
 		grant := l.grant(front, demand, limit, known, isFirst, now)
-		if demand.Waiting > 0 || grant.Stock > 0 || grant.Unlimited {
+		if demand.Waiting > 0 || grant.Stock > 0 {
 			answer.Grants = append(answer.Grants, grant)
 		}
 	}
@@ -95,7 +94,7 @@
 	}
 	if limit.Unlimited() {
 		l.setStock(front, demand.Tenant, 0)
-		grant.Unlimited, grant.Waiting = true, demand.Waiting
+		grant.Waiting = demand.Waiting
 		return grant
 	}
 	p := l.pool(demand.Tenant, limit, now)
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -35,15 +35,12 @@
 }
 
 // Allowed returns how many requests of a tenant may run within a window.
-func (b Bounds) Allowed(l Limit) float64 {
-	quota := l.RequestsPerS*b.Window.Seconds() + l.BurstSize
-	return quota + b.tolerance(l)
-}
+func (b Bounds) Allowed(l Limit) float64 { return b.quota(l) + b.tolerance(l) }
 
-func (b Bounds) tolerance(l Limit) float64 {
-	quota := l.RequestsPerS*b.Window.Seconds() + l.BurstSize
-	return quota*b.Overshoot + b.Slack
-}
+// quota is how many requests a limit allows within a window.
+func (b Bounds) quota(l Limit) float64 { return l.RequestsPerS*b.Window.Seconds() + l.BurstSize }
+
+func (b Bounds) tolerance(l Limit) float64 { return b.quota(l)*b.Overshoot + b.Slack }
 
 // capacity is how many tokens may be unspent, wherever they are.
 func (b Bounds) capacity(l Limit) float64 {
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -53,8 +53,6 @@
 	// Waiting is for requests that wait, Stock to be saved up.
 	Waiting int `json:"W,omitempty"`
 	Stock   int `json:"S,omitempty"`
-	// Unlimited: the tenant has no quota in the holder's configuration.
-	Unlimited bool `json:"U,omitempty"`
 	// RetryAfterMs is set where requests found no token: when the next comes in.
 	RetryAfterMs int64 `json:"R,omitempty"`
 }
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -102,9 +102,7 @@
 	share.follow(limit)
 	share.lastUsed = now
 	share.demanded++
-	if share.stock > 0 {
-		share.stock--
-		share.changed = true
+	if share.takeStock() {
 		return Taken, 0
 	}
 	if now < share.refusedUntil {
@@ -125,6 +123,16 @@
 	}
 }
 
+// takeStock takes a token if there is one in stock.
+func (s *share) takeStock() bool {
+	if s.stock == 0 {
+		return false
+	}
+	s.stock--
+	s.changed = true
+	return true
+}
+
 // TryTake takes a token if there is one in stock. Otherwise it does nothing.
 func (s *Shares) TryTake(tenant string, limit Limit, now time.Duration) bool {
 	s.voidUnconfirmed(now)
@@ -132,13 +140,12 @@
 	if share == nil {
 		return false
 	}
-	if share.follow(limit); share.stock == 0 {
+	share.follow(limit)
+	if !share.takeStock() {
 		return false
 	}
-	share.stock--
 	share.lastUsed = now
 	share.demanded++
-	share.changed = true
 	return true
 }
 
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -102,7 +102,7 @@
 		}
 		if s.ledger == nil && s.now >= s.noneUntil {
 			s.epoch++
-			s.ledger = NewLedger(s.epoch, s.bounds, s.bounds.Validity(), s.now)
+			s.ledger = NewLedger(s.epoch, s.bounds, s.now)
 		}
 		for _, f := range s.fronts {
 			s.step(f)
