Stock of a tenant that was removed and came back counts

A tenant that an operator removed for two windows and added again got a new bucket in the holder's ledger, which did not count what fronts still had in stock of it, so that its quota could be exceeded by that. A new bucket counts it now. TestStockOfATenantThatCameBackCounts failed before: 1 in stock, 6 wanted.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -134,6 +134,9 @@
 		if now < l.unknownUntil {
 			p.unknown = max(0, l.bounds.capacity(limit)-l.bounds.reserve(limit))
 		}
+		for _, front := range l.fronts {
+			p.stocked += front.stocks[tenant]
+		}
 		l.pools[tenant] = p
 	}
 	if p.limit != limit {
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -320,3 +320,25 @@
 		t.Error("stock that was not confirmed is spent")
 	}
 }
+
+// Stock that a front has of a tenant counts also where the tenant was removed and came
+// back since.
+func TestStockOfATenantThatCameBackCounts(t *testing.T) {
+	bounds := Bounds{Window: time.Second, Overshoot: 0.1, Slack: 20}
+	limit, known := Limit{RequestsPerS: 10, BurstSize: 10}, true
+	limits := func(string) (Limit, bool) { return limit, known }
+	l := NewLedger(1, bounds, 0)
+	now := 10 * time.Second
+	report := Report{Front: "f", Incarnation: 1, Seq: 1, Epoch: 1, Full: true, Demands: []Demand{{Tenant: "t", Wanted: 5}}}
+	l.Handle(report, limits, now)
+	if _, _, stocked := l.Size(); stocked != 5 {
+		t.Fatalf("%d in stock", stocked)
+	}
+	known = false
+	l.Handle(Report{Front: "other", Incarnation: 2, Seq: 1, Full: true}, limits, now+l.validity)
+	known = true
+	l.Handle(Report{Front: "other", Incarnation: 2, Seq: 2, Answered: 1, Epoch: 1, Demands: []Demand{{Tenant: "t", Wanted: 1}}}, limits, now+l.validity)
+	if _, _, stocked := l.Size(); stocked != 6 {
+		t.Errorf("%d in stock, want the 5 of before and 1", stocked)
+	}
+}
